--- /dev/null
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/PromptPart.java
@@ -0,0 +1,9 @@
+package org.kumquatplank.core.dispatch;
+
+/**
+ * A part of a prompt, which other requests may share.
+ *
+ * @param id name of the part
+ * @param tokens its length in tokens
+ */
+public record PromptPart(String id, int tokens) {}
