--- a/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
@@ -21,8 +21,8 @@
   /**
    * Returns a chooser.
    *
-   * @param leastConfidence opinion of a model on its own answer, 0 to 100, below which a larger
-   *     one is asked
+   * @param leastConfidence opinion of a model on its own answer, 0 to 100, below which a larger one
+   *     is asked
    */
   public static ModelChooser create(int leastConfidence) {
     return new ModelChooser(leastConfidence);
--- a/core/src/main/java/org/kumquatplank/core/dispatch/Placement.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/Placement.java
@@ -70,8 +70,7 @@
       int instances) {}
 
   /** Returns the best backend server that has room, or nothing. */
-  public Optional<Choice> choose(
-      List<BackendState> servers, Demand demand, Terms terms, long now) {
+  public Optional<Choice> choose(List<BackendState> servers, Demand demand, Terms terms, long now) {
     Choice best = null;
     double bestCost = Double.MAX_VALUE;
     for (BackendState state : servers) {
--- a/core/src/main/java/org/kumquatplank/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/WaitingLine.java
@@ -40,7 +40,7 @@
 
   /** Removes a request that no longer waits. */
   public void remove(T item) {
-    waiting.removeIf(w -> w.item == item);
+    waiting.removeIf(w -> w.item.equals(item));
   }
 
   /** Notes that a request of a client account was started. */
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -0,0 +1,281 @@
+package org.kumquatplank.edge;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.Catalog;
+import org.kumquatplank.core.dispatch.PeerLoad;
+import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.link.proto.EdgeDigest;
+import org.kumquatplank.link.proto.EdgeLoad;
+import org.kumquatplank.platform.store.StoreClient;
+import org.kumquatplank.platform.store.StoreRecord;
+import org.kumquatplank.platform.wire.CatalogDecoder;
+import org.kumquatplank.platform.wire.EdgeSettings;
+
+/**
+ * The control state: configuration, backend servers, other instances and roll-outs.
+ *
+ * <p>Confined to the control thread; tells the traffic thread what is in force.
+ */
+final class ControlPlane {
+  private static final String OPERATOR_TOPIC = "op";
+  private static final String SERVERS_TOPIC = "servers";
+
+  /** Instances leave their addresses here, so that others find them. */
+  private static final String INSTANCES_TOPIC = "instances";
+
+  /** A change is told by the store at once; a silent connection is noticed after this. */
+  private static final long OPERATOR_WAIT_MILLIS = 1_500;
+
+  /** The list changes all the time and is read at intervals well under the time to drain. */
+  private static final long SERVERS_PAUSE_MILLIS = 800;
+
+  private static final long DIGEST_MILLIS = 250;
+  private static final long STEP_MILLIS = 100;
+  private static final long INSTANCES_MILLIS = 15_000;
+  private static final long INSTANCES_RETRY_MILLIS = 500;
+
+  private final EdgeSettings settings;
+  private final EventLoop loop;
+  private final Traffic traffic;
+  private final StoreClient store;
+  private final ServerList servers = new ServerList();
+  private final RolloutControl rollouts;
+  private final Members members;
+  private Optional<Catalog> catalog = Optional.empty();
+  private Map<String, VersionRule> rules = Map.of();
+  private TrafficReport report = TrafficReport.NOTHING;
+  private boolean leaving;
+
+  ControlPlane(EdgeSettings settings, long startedMillis, EventLoop loop, Traffic traffic) {
+    this.settings = settings;
+    this.loop = loop;
+    this.traffic = traffic;
+    this.store = StoreClient.create(loop, settings.store());
+    this.rollouts = new RolloutControl(store);
+    this.members = new Members(settings.instance(), startedMillis, this::onDigest);
+  }
+
+  void start() {
+    InetSocketAddress own = new InetSocketAddress(settings.host(), settings.firstPeerPort());
+    members.bind(loop, own);
+    loop.execute(this::startOnLoop);
+  }
+
+  private void startOnLoop() {
+    long now = Clock.micros();
+    for (String seed : settings.seeds()) {
+      if (!seed.equals(settings.host())) {
+        members.contact(new InetSocketAddress(seed, settings.firstPeerPort()), now);
+      }
+    }
+    new StoreFollower(loop, store, OPERATOR_TOPIC, OPERATOR_WAIT_MILLIS, 0, new OperatorRecords())
+        .start();
+    new StoreFollower(loop, store, SERVERS_TOPIC, 0, SERVERS_PAUSE_MILLIS, new ServerRecords())
+        .start();
+    announce();
+    loop.scheduleAtFixedRate(this::sendDigest, 0, DIGEST_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(this::step, STEP_MILLIS, STEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes over what may change while the process runs: the address of the store. */
+  void setSettings(EdgeSettings changed) {
+    store.setAddress(changed.store());
+    EdgeLog.event("reloaded").addKeyValue("store", changed.store().toString()).log();
+  }
+
+  void leave() {
+    loop.execute(
+        () -> {
+          leaving = true;
+          sendDigest();
+        });
+  }
+
+  void onReport(TrafficReport newReport) {
+    loop.execute(() -> report = newReport);
+  }
+
+  // ---- the operator and the backend servers
+
+  /** Takes the operator's records. */
+  private final class OperatorRecords implements StoreFollower.Listener {
+    @Override
+    public void onListing(List<StoreRecord> records) {
+      onChanges(records);
+    }
+
+    @Override
+    public void onChanges(List<StoreRecord> records) {
+      records.forEach(r -> StoreFollower.each(r, ControlPlane.this::onOperatorRecord));
+      publishRules();
+    }
+
+    @Override
+    public void onRegained(long outageMicros) {}
+  }
+
+  private void onOperatorRecord(StoreRecord record) {
+    if (record.value().isEmpty()) {
+      return;
+    }
+    byte[] value = record.value().get();
+    if (record.key().equals(CatalogDecoder.CATALOG_KEY)) {
+      Catalog read = CatalogDecoder.decode(value);
+      if (catalog.isEmpty() || read.version() > catalog.get().version()) {
+        catalog = Optional.of(read);
+        traffic.setCatalog(read);
+        EdgeLog.event("catalog")
+            .addKeyValue("version", read.version())
+            .addKeyValue("offset", record.offset())
+            .log();
+      }
+    } else if (CatalogDecoder.isRollout(record.key())) {
+      rollouts.onOrder(CatalogDecoder.decodeRollout(value, record.offset()), Clock.micros());
+    }
+  }
+
+  /** Takes the backend servers' records. */
+  private final class ServerRecords implements StoreFollower.Listener {
+    @Override
+    public void onListing(List<StoreRecord> records) {
+      servers.onListing(records, Clock.micros());
+      publishServers();
+    }
+
+    @Override
+    public void onChanges(List<StoreRecord> records) {
+      servers.onChanges(records, Clock.micros());
+      publishServers();
+    }
+
+    @Override
+    public void onRegained(long outageMicros) {
+      servers.onRegained(outageMicros, Clock.micros());
+    }
+  }
+
+  private void publishServers() {
+    Optional<List<BackendServer>> change = servers.takeChange(Clock.micros());
+    if (change.isPresent()) {
+      rollouts.onServers(change.get());
+      publishRules();
+      traffic.setServers(change.get());
+    }
+  }
+
+  private void publishRules() {
+    Map<String, VersionRule> newRules = rollouts.rules(Clock.micros());
+    if (!newRules.equals(rules)) {
+      rules = newRules;
+      traffic.setRules(newRules);
+      EdgeLog.event("version_rules").addKeyValue("rules", newRules).log();
+    }
+  }
+
+  // ---- other instances
+
+  private void announce() {
+    String address = settings.host() + ":" + settings.firstPeerPort();
+    byte[] value = address.getBytes(StandardCharsets.UTF_8);
+    store
+        .put(INSTANCES_TOPIC, settings.instance(), value, OptionalLong.empty())
+        .whenComplete(
+            (offset, failure) -> {
+              if (failure != null) {
+                loop.schedule(this::announce, INSTANCES_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+              } else {
+                findInstances();
+              }
+            });
+  }
+
+  private void findInstances() {
+    store
+        .newest(INSTANCES_TOPIC)
+        .whenComplete(
+            (page, failure) -> {
+              if (failure == null) {
+                page.records().forEach(this::onInstance);
+              }
+              long pause = failure == null ? INSTANCES_MILLIS : INSTANCES_RETRY_MILLIS;
+              loop.schedule(this::findInstances, pause, TimeUnit.MILLISECONDS);
+            });
+  }
+
+  private void onInstance(StoreRecord record) {
+    if (record.key().equals(settings.instance()) || record.value().isEmpty()) {
+      return;
+    }
+    String address = new String(record.value().get(), StandardCharsets.UTF_8);
+    int colon = address.lastIndexOf(':');
+    long now = Clock.micros();
+    boolean heard =
+        members.live(now).stream().anyMatch(p -> p.digest().getInstance().equals(record.key()));
+    if (!heard) {
+      members.contact(
+          new InetSocketAddress(
+              address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+          now);
+    }
+  }
+
+  private void sendDigest() {
+    long now = Clock.micros();
+    EdgeDigest.Builder digest =
+        EdgeDigest.newBuilder()
+            .setFrontAddress(
+                settings.callers().getHostString() + ":" + settings.callers().getPort())
+            .setZone(settings.zone())
+            .setRegion(settings.region())
+            .setReady(report.ready() && !leaving)
+            .setLeaving(leaving)
+            .setCatalogVersion(catalog.map(Catalog::version).orElse(-1L));
+    for (PeerLoad load : report.loads()) {
+      digest.addLoads(
+          EdgeLoad.newBuilder()
+              .setBackend(load.backend())
+              .setRequests(load.requests())
+              .setUnreadTokens(load.unreadTokens())
+              .setSuspect(load.suspect()));
+    }
+    rollouts.addTo(digest, now);
+    members.send(digest, now);
+  }
+
+  private void onDigest(EdgeDigest digest) {
+    rollouts.onDigest(digest, Clock.micros());
+    List<PeerLoad> loads = new ArrayList<>();
+    for (EdgeLoad load : digest.getLoadsList()) {
+      loads.add(
+          new PeerLoad(
+              load.getBackend(), load.getRequests(), load.getUnreadTokens(), load.getSuspect()));
+    }
+    traffic.setPeerLoads(digest.getInstance(), loads);
+  }
+
+  private void step() {
+    long now = Clock.micros();
+    rollouts.onAnswers(report.answers());
+    List<Members.Peer> live = members.live(now);
+    boolean leader =
+        !leaving
+            && live.stream()
+                .filter(p -> p.digest().getReady())
+                .allMatch(p -> settings.instance().compareTo(p.digest().getInstance()) < 0);
+    rollouts.step(leader, now);
+    publishServers();
+    publishRules();
+    List<EdgeDigest> ready =
+        live.stream().map(Members.Peer::digest).filter(EdgeDigest::getReady).toList();
+    traffic.setPeers(ready, 1 + live.size());
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/EdgeMain.java
@@ -0,0 +1,77 @@
+package org.kumquatplank.edge;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.kumquatplank.platform.wire.EdgeSettings;
+import org.kumquatplank.platform.wire.SettingsDecoder;
+import org.kumquatplank.platform.wire.WireException;
+
+/** Starts an entry instance on the users' platform. */
+public final class EdgeMain {
+  private static final String SETTINGS_VARIABLE = "KUMQUATPLANK_NODE_FILE";
+  private static final int BAD_SETTINGS = 2;
+
+  private EdgeMain() {}
+
+  /** Runs until the process is told to stop; exits with 2 when the settings can't be read. */
+  public static void main(String[] arguments) {
+    EdgeSettings settings;
+    try {
+      settings = read();
+    } catch (IOException | WireException e) {
+      System.err.println("kumquatplank: " + e.getMessage());
+      System.exit(BAD_SETTINGS);
+      return;
+    }
+    long startedMillis = System.currentTimeMillis();
+    EventLoop trafficLoop = loop("traffic");
+    EventLoop controlLoop = loop("control");
+    Traffic traffic = new Traffic(settings, trafficLoop);
+    ControlPlane control = new ControlPlane(settings, startedMillis, controlLoop, traffic);
+    traffic.start(control::onReport);
+    control.start();
+    Signals.onHangUp(() -> controlLoop.execute(() -> reload(control)));
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  EdgeLog.event("stopping").log();
+                  control.leave();
+                  traffic.leave();
+                },
+                "leave"));
+    EdgeLog.event("started")
+        .addKeyValue("instance", settings.instance())
+        .addKeyValue("zone", settings.zone())
+        .addKeyValue("started_millis", startedMillis)
+        .log();
+  }
+
+  private static EventLoop loop(String name) {
+    return (EventLoop)
+        new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory(name), NioIoHandler.newFactory())
+            .next();
+  }
+
+  private static void reload(ControlPlane control) {
+    try {
+      control.setSettings(read());
+    } catch (IOException | WireException e) {
+      EdgeLog.problem("reload", e);
+    }
+  }
+
+  private static EdgeSettings read() throws IOException {
+    String path = System.getenv(SETTINGS_VARIABLE);
+    if (path == null) {
+      throw new WireException(SETTINGS_VARIABLE, "not set");
+    }
+    return SettingsDecoder.decode(Files.readAllBytes(Path.of(path)));
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutControl.java
@@ -0,0 +1,293 @@
+package org.kumquatplank.edge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.RolloutOrder;
+import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.rollout.Evidence;
+import org.kumquatplank.core.rollout.RolloutTrack;
+import org.kumquatplank.link.proto.EdgeDigest;
+import org.kumquatplank.link.proto.RolloutDigest;
+import org.kumquatplank.link.proto.VersionEvidence;
+import org.kumquatplank.platform.store.StoreClient;
+import org.kumquatplank.platform.store.StoreRecord;
+import org.kumquatplank.platform.wire.RolloutStatus;
+
+/**
+ * Tracks the roll-outs that the operator ordered and records how far they are.
+ *
+ * <p>Every instance tracks all of them; the leader, the live instance with the first name, writes
+ * their status under a condition, so that two leaders can't overwrite each other. Confined to the
+ * control thread.
+ */
+final class RolloutControl {
+  private static final String STATUS_TOPIC = "status";
+  private static final String OWN = "own";
+  private static final long WRITE_PAUSE_MICROS = 400_000;
+
+  private final StoreClient store;
+  private final Map<String, RolloutTrack> tracks = new HashMap<>();
+  private final Map<Long, Map<VersionCounts.Key, Evidence>> before = new HashMap<>();
+  private final Map<String, Set<String>> knownVersions = new HashMap<>();
+  private final Map<Long, RolloutStatus.State> written = new HashMap<>();
+  private final Map<Long, Long> startedMillis = new HashMap<>();
+  private Map<VersionCounts.Key, Evidence> answers = Map.of();
+  private List<BackendServer> servers = List.of();
+  private boolean statusKnown;
+  private boolean writing;
+  private long writeAfter;
+
+  RolloutControl(StoreClient store) {
+    this.store = store;
+  }
+
+  void onOrder(RolloutOrder order, long now) {
+    RolloutTrack known = tracks.get(order.service());
+    if (known != null && known.order().number() >= order.number()) {
+      return;
+    }
+    EdgeLog.event("rollout_ordered")
+        .addKeyValue("service", order.service())
+        .addKeyValue("target", order.target())
+        .addKeyValue("order", order.number())
+        .log();
+    tracks.put(order.service(), RolloutTrack.create(order, now));
+    before.put(order.number(), answers);
+    startedMillis.put(order.number(), System.currentTimeMillis());
+    statusKnown = false;
+  }
+
+  void onServers(List<BackendServer> newServers) {
+    servers = newServers;
+    for (BackendServer server : newServers) {
+      Set<String> known = knownVersions.computeIfAbsent(server.service(), s -> new HashSet<>());
+      if (known.isEmpty()) {
+        newServers.stream()
+            .filter(s -> s.service().equals(server.service()))
+            .forEach(s -> known.add(s.softwareVersion()));
+      }
+    }
+  }
+
+  void onAnswers(Map<VersionCounts.Key, Evidence> newAnswers) {
+    answers = newAnswers;
+    for (RolloutTrack track : tracks.values()) {
+      track.setEvidence(OWN, ownEvidence(track, true), ownEvidence(track, false));
+    }
+  }
+
+  private Evidence ownEvidence(RolloutTrack track, boolean target) {
+    Evidence sum = Evidence.NONE;
+    Map<VersionCounts.Key, Evidence> start = before.getOrDefault(track.order().number(), Map.of());
+    for (Map.Entry<VersionCounts.Key, Evidence> entry : answers.entrySet()) {
+      VersionCounts.Key key = entry.getKey();
+      boolean same = key.service().equals(track.order().service());
+      if (same && key.version().equals(track.order().target()) == target) {
+        Evidence old = start.getOrDefault(key, Evidence.NONE);
+        Evidence now = entry.getValue();
+        sum =
+            sum.plus(
+                new Evidence(
+                    now.good() - old.good(),
+                    now.bad() - old.bad(),
+                    now.paceMillis() - old.paceMillis(),
+                    now.open()));
+      }
+    }
+    return sum;
+  }
+
+  // ---- other instances
+
+  void addTo(EdgeDigest.Builder digest, long now) {
+    for (RolloutTrack track : tracks.values()) {
+      RolloutTrack.Phase phase = track.phase(now);
+      if (phase == RolloutTrack.Phase.COMPLETED) {
+        continue;
+      }
+      digest.addRollouts(
+          RolloutDigest.newBuilder()
+              .setService(track.order().service())
+              .setOrder(track.order().number())
+              .setElapsedMillis(Math.max(0, track.elapsed(now) / 1_000))
+              .setWithdrawn(phase == RolloutTrack.Phase.WITHDRAWN)
+              .setTarget(encode(ownEvidence(track, true)))
+              .setRest(encode(ownEvidence(track, false))));
+    }
+  }
+
+  private static VersionEvidence encode(Evidence evidence) {
+    return VersionEvidence.newBuilder()
+        .setGood(evidence.good())
+        .setBad(evidence.bad())
+        .setPaceMillis(evidence.paceMillis())
+        .setOpen(evidence.open())
+        .build();
+  }
+
+  private static Evidence decode(VersionEvidence evidence) {
+    return new Evidence(
+        evidence.getGood(), evidence.getBad(), evidence.getPaceMillis(), evidence.getOpen());
+  }
+
+  void onDigest(EdgeDigest digest, long now) {
+    for (RolloutDigest rollout : digest.getRolloutsList()) {
+      RolloutTrack track = tracks.get(rollout.getService());
+      if (track == null || track.order().number() != rollout.getOrder()) {
+        continue;
+      }
+      track.ranFor(rollout.getElapsedMillis() * 1_000, now);
+      // A restarted instance counts anew: its earlier figures stay.
+      String source = digest.getInstance() + "/" + digest.getStartedMillis();
+      track.setEvidence(source, decode(rollout.getTarget()), decode(rollout.getRest()));
+      if (rollout.getWithdrawn()) {
+        track.withdraw();
+      }
+    }
+  }
+
+  // ---- rules
+
+  Map<String, VersionRule> rules(long now) {
+    Map<String, VersionRule> rules = new HashMap<>();
+    for (BackendServer server : servers) {
+      Set<String> known = knownVersions.getOrDefault(server.service(), Set.of());
+      if (!known.contains(server.softwareVersion()) && !tracks.containsKey(server.service())) {
+        // Its order has not been read yet.
+        rules.put(server.service(), new VersionRule.Except(server.softwareVersion()));
+      }
+    }
+    tracks.forEach((service, track) -> rules.put(service, rule(service, track, now)));
+    return rules;
+  }
+
+  private VersionRule rule(String service, RolloutTrack track, long now) {
+    VersionRule rule = track.rule(now);
+    boolean served =
+        servers.stream().anyMatch(s -> s.service().equals(service) && matches(rule, s));
+    return served ? rule : new VersionRule.Any();
+  }
+
+  private static boolean matches(VersionRule rule, BackendServer server) {
+    return switch (rule) {
+      case VersionRule.Any any -> true;
+      case VersionRule.Except except -> !server.softwareVersion().equals(except.version());
+      case VersionRule.Only only -> server.softwareVersion().equals(only.version());
+      case VersionRule.Trial trial -> !server.softwareVersion().equals(trial.version());
+    };
+  }
+
+  // ---- status
+
+  /** Reads and writes what is recorded of the roll-outs. */
+  void step(boolean leader, long now) {
+    if (tracks.isEmpty() || writing || now < writeAfter) {
+      return;
+    }
+    boolean due = !statusKnown || (leader && !unwritten(now).isEmpty());
+    if (!due) {
+      return;
+    }
+    writing = true;
+    writeAfter = now + WRITE_PAUSE_MICROS;
+    store
+        .newest(STATUS_TOPIC)
+        .whenComplete(
+            (page, failure) -> {
+              writing = false;
+              if (failure == null) {
+                readStatus(page.records(), Clock.micros());
+                if (leader) {
+                  write(page.next(), Clock.micros());
+                }
+              }
+            });
+  }
+
+  private void readStatus(List<StoreRecord> records, long now) {
+    Map<String, StoreRecord> byKey = StoreFollower.byKey(records);
+    for (RolloutTrack track : tracks.values()) {
+      StoreRecord record = byKey.get(RolloutStatus.key(track.order().service()));
+      if (record != null && record.value().isPresent()) {
+        StoreFollower.each(record, r -> adopt(track, RolloutStatus.decode(r.value().get()), now));
+      }
+    }
+    statusKnown = true;
+  }
+
+  private void adopt(RolloutTrack track, RolloutStatus status, long now) {
+    if (status.order() != track.order().number()) {
+      return;
+    }
+    written.put(status.order(), status.state());
+    startedMillis.put(status.order(), status.startedMillis());
+    switch (status.state()) {
+      case RUNNING ->
+          track.ranFor(
+              1_000 * Math.max(0, System.currentTimeMillis() - status.startedMillis()), now);
+      case COMPLETED -> track.complete();
+      case ROLLED_BACK -> track.withdraw();
+    }
+  }
+
+  private List<RolloutStatus> unwritten(long now) {
+    List<RolloutStatus> result = new ArrayList<>();
+    for (RolloutTrack track : tracks.values()) {
+      long number = track.order().number();
+      RolloutStatus.State state =
+          switch (track.phase(now)) {
+            case RUNNING -> RolloutStatus.State.RUNNING;
+            case MAY_COMPLETE, COMPLETED -> RolloutStatus.State.COMPLETED;
+            case WITHDRAWN -> RolloutStatus.State.ROLLED_BACK;
+          };
+      RolloutStatus.State known = written.get(number);
+      boolean ended = known != null && known != RolloutStatus.State.RUNNING;
+      if (known != state && !ended) {
+        result.add(RolloutStatus.of(track.order(), state, startedMillis.get(number)));
+      }
+    }
+    return result;
+  }
+
+  private void write(long end, long now) {
+    Optional<RolloutStatus> first = unwritten(now).stream().findFirst();
+    if (first.isEmpty()) {
+      return;
+    }
+    RolloutStatus status = first.get();
+    String service =
+        tracks.values().stream()
+            .filter(t -> t.order().number() == status.order())
+            .map(t -> t.order().service())
+            .findFirst()
+            .orElseThrow();
+    writing = true;
+    store
+        .put(STATUS_TOPIC, RolloutStatus.key(service), status.encode(), OptionalLong.of(end))
+        .whenComplete(
+            (offset, failure) -> {
+              writing = false;
+              EdgeLog.event("rollout_status")
+                  .addKeyValue("service", service)
+                  .addKeyValue("state", status.state())
+                  .addKeyValue("written", failure == null)
+                  .log();
+              if (failure == null) {
+                written.put(status.order(), status.state());
+                if (status.state() == RolloutStatus.State.COMPLETED) {
+                  tracks.get(service).complete();
+                }
+              } else {
+                // Whether it was written is found by reading.
+                statusKnown = false;
+              }
+            });
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/VersionCounts.java
@@ -0,0 +1,35 @@
+package org.kumquatplank.edge;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.rollout.Evidence;
+
+/**
+ * Answers of each version of each service that this instance has seen.
+ *
+ * <p>Confined to the traffic thread.
+ */
+final class VersionCounts {
+  private final Map<Key, Evidence> counts = new HashMap<>();
+
+  /** A version of a service. */
+  record Key(String service, String version) {}
+
+  void good(BackendServer server, double paceMillis) {
+    add(server, new Evidence(1, 0, Math.round(paceMillis), 0));
+  }
+
+  void bad(BackendServer server) {
+    add(server, new Evidence(0, 1, 0, 0));
+  }
+
+  private void add(BackendServer server, Evidence evidence) {
+    counts.merge(new Key(server.service(), server.softwareVersion()), evidence, Evidence::plus);
+  }
+
+  /** Returns a copy of the counts. */
+  Map<Key, Evidence> snapshot() {
+    return Map.copyOf(counts);
+  }
+}
