--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -34,19 +34,19 @@
 final class Dispatcher {
   private static final long MICROS_PER_MILLI = 1_000;
   private static final double MICROS_PER_SECOND = 1_000_000;
-  private static final int LEAST_CONFIDENCE = Integer.getInteger("kumquatplank.confidence", 0);
+  private static final int LEAST_CONFIDENCE = (int) Tuning.d("confidence", 0);
 
   /** A request waits for room at most this part of its time. */
   private static final double MOST_WAIT_SHARE = 0.5;
 
   /** Backend servers get this part of the target to answer, or begin to. */
-  private static final double PATIENCE_SHARE = 0.6;
+  private static final double PATIENCE_SHARE = Tuning.d("patience", 0.6);
 
   /** How much longer than expected an answer may take. */
   private static final double PATIENCE_FACTOR = 4;
 
   /** Part of the longest allowed pause after which a stream goes on elsewhere. */
-  private static final double GAP_SHARE = 0.9;
+  private static final double GAP_SHARE = Tuning.d("gap", 2);
 
   private static final double LEAST_RETRY_SECONDS = 0.15;
   private static final double RETRY_SPREAD_SECONDS = 0.25;
