Ask the smallest model first and a larger one by confidence, time and load

Cause: the largest model for everything reads prompts for two thirds of the engines' time; a tenth of the titles paused over their bound behind it.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
@@ -2,16 +2,22 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.kumquatplank.core.catalog.Route;
 
 /**
  * Chooses the model that answers a request, and decides whether a first answer is good enough.
  *
- * <p>Asks a small model first where there is time to ask a larger one afterwards: most of the work
- * is then done for little, and the answer itself says when it is not good enough. Immutable and
- * thread-safe.
+ * <p>The smallest model is asked first: it reads a prompt in a fraction of the time, and the answer
+ * says how sure the model is. A larger one is asked instead when the answer is doubtful; the less
+ * time or room there is for that, the more doubtful it has to be. So under a peak the cheap answers
+ * go out and the engines stay free. Immutable and thread-safe.
  */
 public final class ModelChooser {
+  /** Part of the time left that may go by in a queue before a large prompt is begun. */
+  private static final double MOST_QUEUE_SHARE = 0.2;
+
+  /** A larger model is seldom asked when it takes more than this part of the time left. */
+  private static final double MOST_REPEAT_SHARE = 0.6;
+
   private final int leastConfidence;
 
   private ModelChooser(int leastConfidence) {
@@ -22,20 +28,33 @@
    * Returns a chooser.
    *
    * @param leastConfidence opinion of a model on its own answer, 0 to 100, below which a larger one
-   *     is asked
+   *     is asked when there is all the time for it
    */
   public static ModelChooser create(int leastConfidence) {
     return new ModelChooser(leastConfidence);
   }
 
-  /** Expected time to the first event with a model, microseconds. */
+  /** Expected times with a model. */
   @FunctionalInterface
   public interface FirstEventEstimate {
-    /** Returns the estimate, or a very long time when nothing can run it now. */
-    double micros(String model);
+    /** Returns the estimate, or nothing when no backend server can run it now. */
+    Optional<Expected> of(String model);
   }
 
-  /** Returns the model to ask first, or nothing where the caller has named it. */
+  /**
+   * Expected time to the first event.
+   *
+   * @param totalMicros whole time, microseconds
+   * @param queueMicros part of it that goes by before the prompt is read, microseconds
+   */
+  public record Expected(double totalMicros, double queueMicros) {}
+
+  /**
+   * Returns the model to ask first, or nothing where the caller has named it.
+   *
+   * <p>A prompt that is too large to be read twice in time goes to the largest model at once, as
+   * long as little waits there.
+   */
   public Optional<String> first(Demand demand, FirstEventEstimate estimate, long now) {
     List<String> models = demand.route().models();
     if (models.isEmpty()) {
@@ -43,25 +62,18 @@
     }
     String smallest = models.get(0);
     String largest = models.get(models.size() - 1);
-    if (models.size() == 1) {
-      return Optional.of(largest);
-    }
     boolean mayAskAgain = demand.route().isRepeatable() && demand.route().maxSends() > 1;
-    double both = estimate.micros(smallest) + estimate.micros(largest);
-    if (mayAskAgain && leastConfidence > 0 && now + both <= demand.target()) {
-      return Optional.of(smallest);
-    }
-    return Optional.of(largestInTime(demand, models, estimate, now));
-  }
-
-  private static String largestInTime(
-      Demand demand, List<String> models, FirstEventEstimate estimate, long now) {
-    for (int i = models.size() - 1; i > 0; i--) {
-      if (now + estimate.micros(models.get(i)) <= demand.target()) {
-        return models.get(i);
-      }
+    if (!mayAskAgain) {
+      return Optional.of(largest);
     }
-    return now > demand.target() ? models.get(models.size() - 1) : models.get(0);
+    double left = demand.target() - now;
+    double first = estimate.of(smallest).map(Expected::totalMicros).orElse(0.0);
+    return estimate
+        .of(largest)
+        .filter(e -> first + e.totalMicros() / MOST_REPEAT_SHARE > left)
+        .filter(e -> e.totalMicros() <= left && e.queueMicros() <= MOST_QUEUE_SHARE * left)
+        .map(e -> largest)
+        .or(() -> Optional.of(smallest));
   }
 
   /**
@@ -71,15 +83,18 @@
    */
   public Optional<String> larger(
       Demand demand, String model, int confidence, FirstEventEstimate estimate, long now) {
-    Route route = demand.route();
-    List<String> models = route.models();
+    List<String> models = demand.route().models();
     int at = models.indexOf(model);
-    if (at < 0 || at == models.size() - 1 || confidence >= leastConfidence) {
+    if (at < 0 || at == models.size() - 1) {
       return Optional.empty();
     }
     String largest = models.get(models.size() - 1);
-    return now + estimate.micros(largest) <= demand.target()
-        ? Optional.of(largest)
-        : Optional.empty();
+    double left = demand.target() - now;
+    Optional<Expected> expected = estimate.of(largest).filter(e -> e.totalMicros() < left);
+    if (expected.isEmpty()) {
+      return Optional.empty();
+    }
+    double bound = leastConfidence * (1 - expected.get().totalMicros() / left);
+    return confidence < bound ? Optional.of(largest) : Optional.empty();
   }
 }
--- a/core/src/main/java/org/kumquatplank/core/dispatch/Placement.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/Placement.java
@@ -57,9 +57,11 @@
    *
    * @param backend the backend server
    * @param expectedMicros expected time to the first event or the answer, microseconds
+   * @param queueMicros part of that time that goes by before the work is begun, microseconds
    * @param unreadTokens prompt tokens that it is expected to read
    */
-  public record Choice(BackendState backend, double expectedMicros, int unreadTokens) {}
+  public record Choice(
+      BackendState backend, double expectedMicros, double queueMicros, int unreadTokens) {}
 
   /** What the choice depends on besides the demand. */
   public record Terms(
@@ -123,15 +125,15 @@
       double inQueue = Math.max(0, known + 1 - slots) / (double) slots;
       double busy = (double) known / slots;
       double micros = FIRST_WORK_MICROS * slowness * (1 + inQueue + 0.1 * busy) + distance;
-      return new Choice(state, micros, 0);
+      return new Choice(state, micros, FIRST_WORK_MICROS * slowness * inQueue, 0);
     }
     String model = terms.model().orElse("");
     int unread = unreadTokens(state, servers, demand, model, now);
     double tokenMicros = speed.of(model) * slowness;
     double queued = state.allUnreadTokens(now) * tokenMicros;
     double own = unread * tokenMicros;
-    double micros = queued + own + known * BESIDE_MICROS * slowness + distance;
-    return new Choice(state, micros, unread);
+    double ahead = queued + known * BESIDE_MICROS * slowness;
+    return new Choice(state, ahead + own + distance, ahead, unread);
   }
 
   private double cost(Choice choice, BackendState state, Demand demand, long now) {
--- a/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
@@ -62,8 +62,7 @@
     }
 
     @Override
-    protected void handleTransferEncodingChunkedWithContentLength(
-        HttpMessage message) {
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
       throw new IllegalArgumentException("both a length and chunks");
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -79,8 +79,7 @@
     }
 
     @Override
-    protected void handleTransferEncodingChunkedWithContentLength(
-        HttpMessage message) {
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
       throw new IllegalArgumentException("both a length and chunks");
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -34,13 +34,13 @@
 final class Dispatcher {
   private static final long MICROS_PER_MILLI = 1_000;
   private static final double MICROS_PER_SECOND = 1_000_000;
-  private static final int LEAST_CONFIDENCE = (int) Tuning.d("confidence", 0);
+  private static final int LEAST_CONFIDENCE = (int) Tuning.d("confidence", 60);
 
   /** A request waits for room at most this part of its time. */
   private static final double MOST_WAIT_SHARE = 0.5;
 
   /** Backend servers get this part of the target to answer, or begin to. */
-  private static final double PATIENCE_SHARE = Tuning.d("patience", 0.6);
+  private static final double PATIENCE_SHARE = Tuning.d("patience", 1);
 
   /** How much longer than expected an answer may take. */
   private static final double PATIENCE_FACTOR = 4;
@@ -220,15 +220,14 @@
     return new Placement.Terms(exchange.service(), model, rule, exchange.excluded(), instances);
   }
 
-  private double expected(Exchange exchange, String model, long now) {
+  private Optional<ModelChooser.Expected> expected(Exchange exchange, String model, long now) {
     return placement
         .choose(
             backends.ofService(exchange.demand().service()),
             exchange.demand(),
             terms(exchange, Optional.of(model)),
             now)
-        .map(Placement.Choice::expectedMicros)
-        .orElse(Double.MAX_VALUE);
+        .map(c -> new ModelChooser.Expected(c.expectedMicros(), c.queueMicros()));
   }
 
   /** Returns the model to ask instead of passing on this answer, if any. */
@@ -364,6 +363,11 @@
           .addKeyValue("model", exchange.model().orElse(""))
           .addKeyValue("sends", exchange.sends())
           .addKeyValue("ms", (Clock.micros() - demand.arrived()) / MICROS_PER_MILLI)
+          .addKeyValue("first_ms", exchange.firstPartMicros() / MICROS_PER_MILLI)
+          .addKeyValue("pause_ms", exchange.longestPauseMicros() / MICROS_PER_MILLI)
+          .addKeyValue("prompt", demand.promptTokens())
+          .addKeyValue(
+              "backend", exchange.call().map(c -> c.choice().backend().server().id()).orElse(""))
           .addKeyValue("outcome", outcome)
           .log();
     }
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -50,6 +50,9 @@
   private int unreached;
   private boolean waiting;
   private boolean streaming;
+  private long lastPartAt;
+  private long firstPartMicros = -1;
+  private long longestPauseMicros;
   private boolean done;
   private Optional<KeptFailure> keptFailure = Optional.empty();
 
@@ -236,6 +239,7 @@
     }
     if (whole.isPresent()) {
       beginStream(answer);
+      notePart();
       caller.sendPart(whole.get());
       if (!caller.isWritable()) {
         from.setReading(false);
@@ -243,6 +247,26 @@
     }
   }
 
+  private void notePart() {
+    long now = Clock.micros();
+    if (firstPartMicros < 0) {
+      firstPartMicros = now - demand.arrived();
+    } else {
+      longestPauseMicros = Math.max(longestPauseMicros, now - lastPartAt);
+    }
+    lastPartAt = now;
+  }
+
+  /** Returns the time to the first event, microseconds, or a negative number without one. */
+  long firstPartMicros() {
+    return firstPartMicros;
+  }
+
+  /** Returns the longest pause between two events, microseconds. */
+  long longestPauseMicros() {
+    return longestPauseMicros;
+  }
+
   private void beginStream(BackendHead answer) {
     if (!streaming) {
       streaming = true;
@@ -311,8 +335,7 @@
 
   private void passFailure(KeptFailure failure) {
     finish("failed_at_backend");
-    caller.answer(
-        failure.head().status(), failure.head().passed(), failure.body());
+    caller.answer(failure.head().status(), failure.head().passed(), failure.body());
   }
 
   private ByteBuf takeBuffered() {
--- a/edge/src/main/java/org/kumquatplank/edge/SmallServer.java
+++ b/edge/src/main/java/org/kumquatplank/edge/SmallServer.java
@@ -67,9 +67,7 @@
       ByteBuf body = Unpooled.copiedBuffer(answer.body(), StandardCharsets.UTF_8);
       FullHttpResponse response =
           new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1,
-              HttpResponseStatus.valueOf(answer.status()),
-              body);
+              HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), body);
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.type());
       response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
       boolean keep = HttpUtil.isKeepAlive(request);
