--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -39,7 +39,7 @@
   private static final long SERVERS_PAUSE_MILLIS = 800;
 
   private static final long DIGEST_MILLIS = 250;
-  private static final long STEP_MILLIS = 100;
+  private static final long STEP_MILLIS = 200;
   private static final long INSTANCES_MILLIS = 15_000;
   private static final long INSTANCES_RETRY_MILLIS = 500;
 
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -65,6 +65,8 @@
   private Optional<Catalog> catalog = Optional.empty();
   private boolean serversKnown;
   private int instances = 1;
+  private Runnable onFirstExchange = () -> {};
+  private boolean ticking;
 
   Dispatcher(EdgeSettings settings, BackendPool pool, EdgeMetrics metrics) {
     this.settings = settings;
@@ -149,8 +151,21 @@
 
   // ---- placing
 
+  /** Sets what is to be done when a request comes and none was open. */
+  void onFirstExchange(Runnable work) {
+    onFirstExchange = work;
+  }
+
+  void restsNow() {
+    ticking = false;
+  }
+
   void start(Exchange exchange) {
     open.add(exchange);
+    if (!ticking) {
+      ticking = true;
+      onFirstExchange.run();
+    }
     repeatLimit(exchange).request(Clock.micros());
     place(exchange);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Traffic.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Traffic.java
@@ -33,9 +33,9 @@
  */
 final class Traffic {
   private static final int BACKLOG = 1_024;
-  private static final long TICK_MILLIS = 20;
-  private static final long REPORT_MILLIS = 100;
-  private static final long SWEEP_MILLIS = 200;
+  private static final long TICK_MILLIS = 25;
+  private static final long REPORT_MILLIS = 200;
+  private static final long SWEEP_MILLIS = 400;
   private static final double RESOLVE_SECONDS = 2;
   private static final String JSON = "application/json";
 
@@ -80,20 +80,36 @@
     listen(settings.readiness(), new SmallServer(this::readiness));
     listen(settings.directory(), new SmallServer(this::resolve));
     listen(settings.metrics(), new SmallServer(uri -> metricsPage()));
-    every(TICK_MILLIS, () -> dispatcher.tick(Clock.micros()));
+    dispatcher.onFirstExchange(this::tickWhileOpen);
     every(SWEEP_MILLIS, this::sweep);
     every(REPORT_MILLIS, () -> reports.accept(report()));
   }
 
-  private void every(long millis, Runnable work) {
-    Runnable guarded =
+  /** Moves requests on for as long as there are any: an idle instance need not wake up. */
+  private void tickWhileOpen() {
+    loop.schedule(
         () -> {
-          try {
-            work.run();
-          } catch (RuntimeException e) {
-            EdgeLog.problem("traffic", e);
+          guarded(() -> dispatcher.tick(Clock.micros()));
+          if (dispatcher.openExchanges() > 0) {
+            tickWhileOpen();
+          } else {
+            dispatcher.restsNow();
           }
-        };
+        },
+        TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private static void guarded(Runnable work) {
+    try {
+      work.run();
+    } catch (RuntimeException e) {
+      EdgeLog.problem("traffic", e);
+    }
+  }
+
+  private void every(long millis, Runnable work) {
+    Runnable guarded = () -> guarded(work);
     loop.scheduleWithFixedDelay(guarded, millis, millis, TimeUnit.MILLISECONDS);
   }
 
