Let equal backend servers take turns; stand-ins and tests for the users' platform

Cause: a test with two idle replicas sent everything to the first: with equal cost the order of the list decided, on every instance alike.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/Placement.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/Placement.java
@@ -41,6 +41,7 @@
   private final Place place;
   private final ReadingSpeed speed;
   private final PromptMemory memory = new PromptMemory();
+  private int turn;
 
   private Placement(Place place, ReadingSpeed speed) {
     this.place = place;
@@ -75,7 +76,10 @@
   public Optional<Choice> choose(List<BackendState> servers, Demand demand, Terms terms, long now) {
     Choice best = null;
     double bestCost = Double.MAX_VALUE;
-    for (BackendState state : servers) {
+    // Equal ones take turns, so that instances do not all choose the first idle one.
+    turn = (turn + 1) % Math.max(1, servers.size());
+    for (int i = 0; i < servers.size(); i++) {
+      BackendState state = servers.get((i + turn) % servers.size());
       if (!isPermitted(state, demand, terms) || !hasRoom(state, terms, now)) {
         continue;
       }
--- /dev/null
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -0,0 +1,224 @@
+package org.kumquatplank.edge;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.kumquatplank.platform.wire.EdgeSettings;
+import org.kumquatplank.testkit.fleet.ReplicaStandIn;
+import org.kumquatplank.testkit.fleet.ReplicaStandIn.Behaviour;
+import org.kumquatplank.testkit.fleet.ReplicaStandIn.Received;
+import org.kumquatplank.testkit.fleet.StoreStandIn;
+
+/** An entry in this process, with a store and replicas that a test scripts. */
+final class EdgeFixture implements AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+  private static final long PATIENCE_MILLIS = 8_000;
+
+  private final StoreStandIn store;
+  private final List<ReplicaStandIn> replicas = new ArrayList<>();
+  private final EventLoop trafficLoop = loop();
+  private final EventLoop controlLoop = loop();
+  private final EdgeSettings settings;
+  private final Traffic traffic;
+  private int version = 1;
+
+  private EdgeFixture() throws IOException {
+    store = StoreStandIn.open(HOST);
+    settings =
+        new EdgeSettings(
+            "self",
+            HOST,
+            "a",
+            "r",
+            Map.of("a", "r"),
+            free(),
+            free(),
+            free(),
+            free(),
+            free().getPort(),
+            List.of(),
+            store.address(),
+            new EdgeSettings.Rules(0.9, 50, 10_000, 8_000, 5));
+    traffic = new Traffic(settings, trafficLoop);
+  }
+
+  private static EventLoop loop() {
+    return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  }
+
+  private static InetSocketAddress free() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    }
+  }
+
+  /** Starts an entry in front of replicas with these scripts. */
+  @SafeVarargs
+  static EdgeFixture start(Function<Received, Behaviour>... scripts) throws IOException {
+    EdgeFixture fixture = new EdgeFixture();
+    fixture.putCatalog("\"key-1\"");
+    for (Function<Received, Behaviour> script : scripts) {
+      String id = "i-" + fixture.replicas.size();
+      ReplicaStandIn replica = ReplicaStandIn.open(HOST, id, script);
+      fixture.replicas.add(replica);
+      fixture.store.put("servers", id, replica.entry("pool", "ready"));
+    }
+    ControlPlane control =
+        new ControlPlane(fixture.settings, 1, fixture.controlLoop, fixture.traffic);
+    fixture.traffic.start(control::onReport);
+    control.start();
+    fixture.await(() -> fixture.readiness() == 200);
+    return fixture;
+  }
+
+  StoreStandIn store() {
+    return store;
+  }
+
+  ReplicaStandIn replica(int number) {
+    return replicas.get(number);
+  }
+
+  Traffic traffic() {
+    return traffic;
+  }
+
+  /** Writes a new version of the configuration with these keys. */
+  void putCatalog(String keys) {
+    String route =
+        "{\"name\":\"%s\",\"host\":\"h.example\",\"path_prefix\":\"/%s/\",\"kind\":\"%s\","
+            + "\"timeout_ms\":2000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"pool\","
+            + "\"max_attempts\":%d,\"resume_streams\":true,\"target_gap_ms\":800%s}";
+    String routes =
+        String.join(
+            ",",
+            String.format(route, "read", "read", "safe", 2, ""),
+            String.format(route, "order", "order", "unsafe", 1, ""),
+            String.format(route, "tell", "tell", "streaming", 3, ",\"sizes\":[\"s\",\"l\"]"));
+    store.put(
+        "op",
+        "config",
+        "{\"version\":"
+            + version++
+            + ",\"routes\":["
+            + routes
+            + "],\"services\":[{\"name\":\"pool\",\"connection_limit\":64}],"
+            + "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
+            + "\"header_timeout_ms\":600,\"idle_timeout_ms\":5000},"
+            + "\"tenants\":[{\"name\":\"t\",\"api_keys\":["
+            + keys
+            + "]}]}");
+  }
+
+  /** Waits until something holds. */
+  void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + PATIENCE_MILLIS * 1_000_000;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("did not come true in time");
+      }
+      try {
+        Thread.sleep(20);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new AssertionError(e);
+      }
+    }
+  }
+
+  int readiness() {
+    try {
+      return status(exchange(settings.readiness(), "GET /readiness HTTP/1.0\r\n\r\n"));
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  /** Returns the head of a request. */
+  static String head(String method, String path, String id, String more) {
+    return method
+        + " "
+        + path
+        + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: "
+        + id
+        + "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token key-1\r\n"
+        + more
+        + "\r\n";
+  }
+
+  /** Sends a request on a connection of its own and returns the whole answer. */
+  String send(String method, String path, String id, String more) throws IOException {
+    return exchange(settings.callers(), head(method, path, id, "Connection: close\r\n" + more));
+  }
+
+  /** Sends bytes on a connection of their own and returns what comes until it is closed. */
+  String sendRaw(String bytes) throws IOException {
+    return exchange(settings.callers(), bytes);
+  }
+
+  /** Opens a connection of a caller. */
+  Socket connect() throws IOException {
+    return new Socket(settings.callers().getAddress(), settings.callers().getPort());
+  }
+
+  private static String exchange(InetSocketAddress address, String bytes) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout((int) PATIENCE_MILLIS);
+      OutputStream out = socket.getOutputStream();
+      out.write(bytes.getBytes(StandardCharsets.UTF_8));
+      out.flush();
+      InputStream in = socket.getInputStream();
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      in.transferTo(all);
+      return all.toString(StandardCharsets.UTF_8);
+    }
+  }
+
+  /** Returns the status of an answer, or 0 when there is none. */
+  static int status(String answer) {
+    return answer.length() < 12 ? 0 : Integer.parseInt(answer.substring(9, 12));
+  }
+
+  /** Returns the body of an answer with its chunks put together. */
+  static String body(String answer) {
+    String body = answer.substring(answer.indexOf("\r\n\r\n") + 4);
+    if (!answer.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked")) {
+      return body;
+    }
+    StringBuilder whole = new StringBuilder();
+    int at = 0;
+    while (at < body.length()) {
+      int lineEnd = body.indexOf("\r\n", at);
+      int length = Integer.parseInt(body.substring(at, lineEnd), 16);
+      whole.append(body, lineEnd + 2, lineEnd + 2 + length);
+      at = lineEnd + 4 + length;
+    }
+    return whole.toString();
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (ReplicaStandIn replica : replicas) {
+      replica.close();
+    }
+    store.close();
+    trafficLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    controlLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/StoreStandIn.java
@@ -0,0 +1,247 @@
+package org.kumquatplank.testkit.fleet;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+
+/**
+ * A stand-in for the platform's store: the keyed topics of its log.
+ *
+ * <p>Thread-safe. Faults are set by {@link #setFault}; {@link #forgetHistory} drops old records.
+ */
+public final class StoreStandIn implements AutoCloseable {
+  private static final int OK = 200;
+  private static final int GONE = 410;
+  private static final int CONDITION_FAILED = 412;
+  private static final int UNAVAILABLE = 503;
+  private static final int KEY_LENGTH_BYTES = 1;
+
+  private final HttpServer server;
+  private final Map<String, Topic> topics = new HashMap<>();
+  private Fault fault = Fault.NONE;
+
+  private StoreStandIn(HttpServer server) {
+    this.server = server;
+  }
+
+  /** How the store misbehaves. */
+  public enum Fault {
+    /** Not at all. */
+    NONE,
+    /** It refuses every call. */
+    DOWN,
+    /** It does what it is asked and gives no answer. */
+    ANSWERS_LOST
+  }
+
+  /** One keyed topic. */
+  private static final class Topic {
+    private final List<byte[]> records = new ArrayList<>();
+    private int first;
+  }
+
+  /** Opens a store on a free port. */
+  public static StoreStandIn open(String host) throws IOException {
+    HttpServer server = HttpServer.create(new InetSocketAddress(host, 0), 0);
+    StoreStandIn store = new StoreStandIn(server);
+    server.createContext("/", store::handle);
+    server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+    server.start();
+    return store;
+  }
+
+  /** Returns the address. */
+  public InetSocketAddress address() {
+    return server.getAddress();
+  }
+
+  /** Sets how the store misbehaves from now on. */
+  public synchronized void setFault(Fault newFault) {
+    fault = newFault;
+    notifyAll();
+  }
+
+  /** Writes the newest record of a key, as the operator or a backend server does. */
+  public synchronized void put(String topic, String key, String value) {
+    append(topic, record(key, value.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** Drops a key. */
+  public synchronized void drop(String topic, String key) {
+    append(topic, record(key, new byte[0]));
+  }
+
+  /** Returns the newest value of a key, or an empty text. */
+  public synchronized String newest(String topic, String key) {
+    byte[] value = newestByKey(topic(topic)).get(key);
+    return value == null ? "" : new String(value, StandardCharsets.UTF_8);
+  }
+
+  /** Drops all but the newest record of each key: reads from older offsets fail. */
+  public synchronized void forgetHistory(String topic) {
+    topic(topic).first = topic(topic).records.size();
+  }
+
+  private static byte[] record(String key, byte[] value) {
+    byte[] name = key.getBytes(StandardCharsets.UTF_8);
+    return ByteBuffer.allocate(KEY_LENGTH_BYTES + name.length + value.length)
+        .put((byte) name.length)
+        .put(name)
+        .put(value)
+        .array();
+  }
+
+  private Topic topic(String name) {
+    return topics.computeIfAbsent(name, n -> new Topic());
+  }
+
+  private long append(String topic, byte[] record) {
+    Topic log = topic(topic);
+    log.records.add(record);
+    notifyAll();
+    return log.records.size() - 1L;
+  }
+
+  private void handle(HttpExchange exchange) throws IOException {
+    try (exchange) {
+      Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
+      byte[] body = exchange.getRequestBody().readAllBytes();
+      Answer answer = answer(exchange.getRequestURI().getPath(), query, body);
+      if (answer.lost()) {
+        return;
+      }
+      exchange.sendResponseHeaders(answer.status(), answer.body().remaining());
+      byte[] bytes = new byte[answer.body().remaining()];
+      answer.body().get(bytes);
+      exchange.getResponseBody().write(bytes);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** An answer, which may get lost. */
+  private record Answer(int status, ByteBuffer body, boolean lost) {
+    static Answer of(int status, String json) {
+      return new Answer(status, ByteBuffer.wrap(json.getBytes(StandardCharsets.UTF_8)), false);
+    }
+  }
+
+  private static Map<String, String> query(String raw) {
+    Map<String, String> result = new HashMap<>();
+    for (String pair : raw == null ? new String[0] : raw.split("&", -1)) {
+      int equals = pair.indexOf('=');
+      result.put(
+          pair.substring(0, equals),
+          URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
+    }
+    return result;
+  }
+
+  private synchronized Answer answer(String path, Map<String, String> query, byte[] body)
+      throws IOException, InterruptedException {
+    if (fault == Fault.DOWN) {
+      return Answer.of(UNAVAILABLE, "{}");
+    }
+    String topic = query.get("topic").substring("keyed.".length());
+    Answer answer =
+        switch (path) {
+          case "/log-append" -> appendAll(topic, query, body);
+          case "/log-read" -> read(topic, query);
+          case "/log-newest" -> newestPage(topic);
+          default -> Answer.of(404, "{}");
+        };
+    return fault == Fault.ANSWERS_LOST ? new Answer(0, answer.body(), true) : answer;
+  }
+
+  private Answer appendAll(String topic, Map<String, String> query, byte[] body) {
+    Topic log = topic(topic);
+    boolean conditional = query.containsKey("at");
+    if (conditional && Long.parseLong(query.get("at")) != log.records.size()) {
+      return Answer.of(CONDITION_FAILED, "{\"end\":" + log.records.size() + "}");
+    }
+    int offset = log.records.size();
+    ByteBuffer in = ByteBuffer.wrap(body);
+    while (in.hasRemaining()) {
+      byte[] record = new byte[in.getInt()];
+      in.get(record);
+      append(topic, record);
+    }
+    return Answer.of(OK, "{\"offset\":" + offset + ",\"end\":" + log.records.size() + "}");
+  }
+
+  private Answer read(String topic, Map<String, String> query)
+      throws IOException, InterruptedException {
+    Topic log = topic(topic);
+    int from = Integer.parseInt(query.get("from"));
+    long end = System.nanoTime() / 1_000_000 + Long.parseLong(query.getOrDefault("wait_ms", "0"));
+    long left = end - System.nanoTime() / 1_000_000;
+    while (from >= log.records.size() && left > 0 && fault == Fault.NONE) {
+      wait(left);
+      left = end - System.nanoTime() / 1_000_000;
+    }
+    if (from < log.first) {
+      return Answer.of(GONE, "{\"first\":" + log.first + "}");
+    }
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    DataOutputStream out = new DataOutputStream(bytes);
+    out.writeLong(log.records.size());
+    out.writeLong(log.first);
+    for (int i = from; i < log.records.size(); i++) {
+      out.writeInt(log.records.get(i).length);
+      out.write(log.records.get(i));
+    }
+    return new Answer(OK, ByteBuffer.wrap(bytes.toByteArray()), false);
+  }
+
+  private static Map<String, byte[]> newestByKey(Topic log) {
+    Map<String, byte[]> newest = new LinkedHashMap<>();
+    for (byte[] record : log.records) {
+      String key = new String(record, KEY_LENGTH_BYTES, record[0], StandardCharsets.UTF_8);
+      int start = KEY_LENGTH_BYTES + record[0];
+      byte[] value = new byte[record.length - start];
+      System.arraycopy(record, start, value, 0, value.length);
+      newest.put(key, value);
+    }
+    newest.values().removeIf(value -> value.length == 0);
+    return newest;
+  }
+
+  private Answer newestPage(String topic) {
+    Topic log = topic(topic);
+    JsonArray items = new JsonArray();
+    newestByKey(log)
+        .forEach(
+            (key, value) -> {
+              JsonObject item = new JsonObject();
+              item.addProperty("key", key);
+              item.addProperty("value", Base64.getEncoder().encodeToString(value));
+              item.addProperty("offset", log.records.size() - 1);
+              items.add(item);
+            });
+    JsonObject page = new JsonObject();
+    page.add("items", items);
+    page.addProperty("has_more", false);
+    page.addProperty("end", log.records.size());
+    return Answer.of(OK, page.toString());
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+  }
+}
