--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -31,6 +31,7 @@
   private long suspectUntil = Long.MIN_VALUE;
   private long peerSuspectUntil = Long.MIN_VALUE;
   private boolean onProbation;
+  private long progressAt = Long.MIN_VALUE / 2;
   private boolean gone;
 
   BackendState(BackendServer server) {
@@ -150,6 +151,16 @@
     return sum;
   }
 
+  /** Notes that something came from it, for whichever request. */
+  public void progressed(long now) {
+    progressAt = now;
+  }
+
+  /** Returns when something last came from it, for whichever request, microseconds. */
+  public long progressAt() {
+    return progressAt;
+  }
+
   /** Notes a failure or a silence; repeated ones are remembered for longer. */
   public void failed(long now) {
     if (now < suspectUntil) {
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -93,6 +93,7 @@
   void onHead(BackendHead newHead) {
     head = newHead;
     progressAt = Clock.micros();
+    choice.backend().progressed(progressAt);
     newHead
         .load()
         .ifPresent(
@@ -112,6 +113,7 @@
 
   void onBody(ByteBuf bytes) {
     progressAt = Clock.micros();
+    choice.backend().progressed(progressAt);
     exchange.onBody(this, head, bytes);
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -11,11 +11,11 @@
 import java.util.Set;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.Catalog;
-import org.kumquatplank.core.catalog.Route;
 import org.kumquatplank.core.dispatch.BackendBook;
 import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.dispatch.Demand;
 import org.kumquatplank.core.dispatch.ModelChooser;
+import org.kumquatplank.core.dispatch.Patience;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.Place;
 import org.kumquatplank.core.dispatch.Placement;
@@ -39,15 +39,6 @@
   /** A request waits for room at most this part of its time. */
   private static final double MOST_WAIT_SHARE = 0.5;
 
-  /** Backend servers get this part of the target to answer, or begin to. */
-  private static final double PATIENCE_SHARE = Tuning.d("patience", 1);
-
-  /** How much longer than expected an answer may take. */
-  private static final double PATIENCE_FACTOR = 4;
-
-  /** Part of the longest allowed pause after which a stream goes on elsewhere. */
-  private static final double GAP_SHARE = Tuning.d("gap", 2);
-
   private static final double LEAST_RETRY_SECONDS = 0.15;
   private static final double RETRY_SPREAD_SECONDS = 0.25;
 
@@ -281,12 +272,12 @@
 
   /** Returns how long a backend server may be silent before the request goes elsewhere. */
   long patienceMicros(Exchange exchange, BackendCall call, boolean streaming) {
-    Route route = exchange.demand().route();
-    if (streaming) {
-      return (long) (GAP_SHARE * route.gapMillis() * MICROS_PER_MILLI);
-    }
-    double share = PATIENCE_SHARE * route.targetMillis() * MICROS_PER_MILLI;
-    return (long) Math.max(share, PATIENCE_FACTOR * call.choice().expectedMicros());
+    return Patience.micros(
+        exchange.demand().route(),
+        call.choice().backend(),
+        call.choice().expectedMicros(),
+        streaming,
+        Clock.micros());
   }
 
   /** Returns when a refused caller should try again, seconds. */
