--- a/core/src/main/java/org/kumquatplank/core/dispatch/VersionRule.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/VersionRule.java
@@ -33,6 +33,15 @@
     };
   }
 
+  /**
+   * Returns the rule for a request that already failed somewhere.
+   *
+   * <p>It never goes to a version on trial: that may be bad, and this request has few sends left.
+   */
+  default VersionRule forRepeat() {
+    return this instanceof Trial trial ? new Except(trial.version()) : this;
+  }
+
   private static boolean takesPart(Trial trial, Demand demand) {
     if (demand.session().isPresent() && !trial.withSessions()) {
       return false;
--- /dev/null
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/ModelChooserTest.java
@@ -0,0 +1,61 @@
+package org.kumquatplank.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import net.jqwik.api.Example;
+import org.kumquatplank.core.dispatch.ModelChooser.Expected;
+import org.kumquatplank.core.dispatch.ModelChooser.FirstEventEstimate;
+
+class ModelChooserTest {
+  private final ModelChooser chooser = ModelChooser.create(60);
+  private final Demand demand = Samples.demand(Samples.stream(3), "x");
+
+  private static FirstEventEstimate estimate(double small, double large, double queue) {
+    return model ->
+        Optional.of(new Expected((model.equals("large") ? large : small) + queue, queue));
+  }
+
+  @Example
+  void testSmallestFirstWhereBothFit() {
+    assertThat(chooser.first(demand, estimate(50_000, 400_000, 0), 0)).contains("small");
+  }
+
+  @Example
+  void testLargePromptGoesToTheLargestAtOnceWhereLittleWaits() {
+    assertThat(chooser.first(demand, estimate(300_000, 1_500_000, 0), 0)).contains("large");
+  }
+
+  /** Under a peak the large model would only lengthen the queue for everybody. */
+  @Example
+  void testLargePromptGoesToTheSmallestWhereMuchWaits() {
+    assertThat(chooser.first(demand, estimate(300_000, 1_200_000, 700_000), 0)).contains("small");
+  }
+
+  @Example
+  void testDoubtfulAnswerIsAskedAgainWhereThereIsTime() {
+    assertThat(chooser.larger(demand, "small", 20, estimate(0, 300_000, 0), 0)).contains("large");
+    assertThat(chooser.larger(demand, "small", 80, estimate(0, 300_000, 0), 0)).isEmpty();
+    assertThat(chooser.larger(demand, "large", 0, estimate(0, 0, 0), 0)).isEmpty();
+  }
+
+  /** Under a peak only the most doubtful answers are asked again, and none that would be late. */
+  @Example
+  void testTheMoreWaitsTheMoreDoubtfulAnAnswerHasToBe() {
+    FirstEventEstimate busy = estimate(0, 300_000, 1_200_000);
+    assertThat(chooser.larger(demand, "small", 30, busy, 0)).isEmpty();
+    assertThat(chooser.larger(demand, "small", 10, busy, 0)).contains("large");
+    assertThat(chooser.larger(demand, "small", 0, estimate(0, 300_000, 1_800_000), 0)).isEmpty();
+  }
+
+  @Example
+  void testRequestThatMayBeSentOnceGoesToTheLargest() {
+    Demand once = Samples.demand(Samples.stream(1), "x");
+    assertThat(chooser.first(once, estimate(0, 100_000, 0), 0)).contains("large");
+  }
+
+  @Example
+  void testCallersOwnChoiceIsKept() {
+    assertThat(chooser.first(Samples.demand(Samples.safe(), "x"), estimate(0, 0, 0), 0)).isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/Samples.java
@@ -0,0 +1,83 @@
+package org.kumquatplank.core.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.Repeatability;
+import org.kumquatplank.core.catalog.Route;
+import org.kumquatplank.core.catalog.ServiceInfo;
+import org.kumquatplank.core.catalog.ServiceShare;
+
+/** Values that the tests of this package share. */
+public final class Samples {
+  public static final long MILLI = 1_000;
+  public static final ServiceInfo ENGINE =
+      new ServiceInfo("pool", 600, Map.of("small", 0.02, "large", 0.3));
+  public static final ServiceInfo PLAIN = new ServiceInfo("desk", 96, Map.of());
+
+  private Samples() {}
+
+  public static Route stream(int maxSends) {
+    return new Route(
+        "tell",
+        "h",
+        "/tell/",
+        Repeatability.RESUMABLE,
+        true,
+        List.of(new ServiceShare("pool", 1)),
+        20_000,
+        2_000,
+        800,
+        1,
+        maxSends,
+        false,
+        true,
+        List.of("small", "middle", "large"));
+  }
+
+  public static Route safe() {
+    return new Route(
+        "read",
+        "h",
+        "/read/",
+        Repeatability.IDEMPOTENT,
+        false,
+        List.of(new ServiceShare("desk", 1)),
+        3_000,
+        400,
+        0,
+        2,
+        2,
+        false,
+        false,
+        List.of());
+  }
+
+  public static Demand demand(Route route, String id, String account, int priority, long arrived) {
+    List<PromptPart> parts =
+        route.stream()
+            ? List.of(new PromptPart("system", 500), new PromptPart(id + "-own", 1_500))
+            : List.of();
+    return new Demand(
+        id,
+        route,
+        route.shares().get(0).service(),
+        account,
+        priority,
+        Optional.empty(),
+        parts,
+        route.stream() ? 2_000 : 0,
+        100,
+        arrived,
+        arrived + route.timeoutMillis() * MILLI);
+  }
+
+  public static Demand demand(Route route, String id) {
+    return demand(route, id, "t", 1, 0);
+  }
+
+  public static BackendServer server(String id, String service, String zone, String version) {
+    return new BackendServer(id, 1, service, "127.0.0.1", 1, zone, version, 6, false);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/VersionRuleTest.java
@@ -0,0 +1,46 @@
+package org.kumquatplank.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import net.jqwik.api.Example;
+import org.kumquatplank.core.catalog.BackendServer;
+
+class VersionRuleTest {
+  private static final BackendServer OLD = Samples.server("o", "pool", "a", "v1");
+  private static final BackendServer NEW = Samples.server("n", "pool", "a", "v2");
+
+  private static int takenByNew(VersionRule rule) {
+    int taken = 0;
+    for (int i = 0; i < 1_000; i++) {
+      Demand demand = Samples.demand(Samples.stream(3), "request-" + i);
+      assertThat(rule.permits(NEW, demand)).isNotEqualTo(rule.permits(OLD, demand));
+      taken += rule.permits(NEW, demand) ? 1 : 0;
+    }
+    return taken;
+  }
+
+  @Example
+  void testTrialTakesItsShareAndEachRequestHasOneVersion() {
+    assertThat(takenByNew(new VersionRule.Trial("v2", 0.06, false))).isBetween(30, 90);
+    assertThat(takenByNew(new VersionRule.Trial("v2", 0.35, false))).isBetween(300, 400);
+  }
+
+  @Example
+  void testSessionStaysOnTheOldVersionUntilSessionsMay() {
+    Demand plain = Samples.demand(Samples.stream(3), "x");
+    Demand inSession =
+        new Demand("x", plain.route(), "pool", "t", 1, Optional.of("s"), plain.parts(), 1, 1, 0, 1);
+    assertThat(new VersionRule.Trial("v2", 1, false).permits(NEW, inSession)).isFalse();
+    assertThat(new VersionRule.Trial("v2", 1, true).permits(NEW, inSession)).isTrue();
+  }
+
+  /** Day hunt-9935-11: a stream was resumed twice on a bad version on trial, and was lost. */
+  @Example
+  void testRepeatNeverGoesToAVersionOnTrial() {
+    VersionRule rule = new VersionRule.Trial("v2", 1, true).forRepeat();
+    Demand demand = Samples.demand(Samples.stream(3), "x");
+    assertThat(rule.permits(NEW, demand)).isFalse();
+    assertThat(rule.permits(OLD, demand)).isTrue();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/kumquatplank/core/rollout/RolloutTrackTest.java
@@ -0,0 +1,85 @@
+package org.kumquatplank.core.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.Random;
+import net.jqwik.api.Example;
+import org.kumquatplank.core.catalog.RolloutOrder;
+import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.rollout.RolloutTrack.Phase;
+
+class RolloutTrackTest {
+  private static final long SECOND = 1_000_000;
+  private static final RolloutOrder ORDER = new RolloutOrder(7, "pool", "v2", 24_000);
+
+  private final RolloutTrack track = RolloutTrack.create(ORDER, 0);
+
+  @Example
+  void testGoodVersionGoesStepByStepToAllWork() {
+    track.setEvidence("own", new Evidence(50, 0, 500, 0), new Evidence(500, 3, 5_000, 9));
+    assertThat(track.rule(SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.06, false));
+    assertThat(track.rule(13 * SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.35, true));
+    assertThat(track.rule(16 * SECOND)).isEqualTo(new VersionRule.Only("v2"));
+    assertThat(track.phase(18 * SECOND)).isEqualTo(Phase.RUNNING);
+    track.setEvidence("own", new Evidence(50, 0, 500, 4), new Evidence(500, 3, 5_000, 0));
+    assertThat(track.phase(18 * SECOND)).isEqualTo(Phase.MAY_COMPLETE);
+  }
+
+  @Example
+  void testItIsCompletedInTimeThoughOldWorkIsStillOpen() {
+    track.setEvidence("own", Evidence.NONE, new Evidence(0, 0, 0, 3));
+    assertThat(track.phase(21 * SECOND)).isEqualTo(Phase.MAY_COMPLETE);
+  }
+
+  /** Half of the answers fail: the median of 20 seeds is withdrawn long before 50 bad ones. */
+  @Example
+  void testBadVersionIsWithdrawnEarly() {
+    int[] badSeen = new int[20];
+    for (int seed = 0; seed < badSeen.length; seed++) {
+      RolloutTrack tried = RolloutTrack.create(ORDER, 0);
+      Random random = new Random(seed);
+      int good = 0;
+      int bad = 0;
+      while (tried.phase(SECOND) == Phase.RUNNING && bad < 50) {
+        good += random.nextDouble() < 0.5 ? 1 : 0;
+        bad += random.nextDouble() < 0.5 ? 1 : 0;
+        tried.setEvidence("a", new Evidence(good, bad, good, 0), new Evidence(300, 2, 300, 0));
+      }
+      badSeen[seed] = bad;
+      assertThat(tried.phase(SECOND)).isEqualTo(Phase.WITHDRAWN);
+      assertThat(tried.rule(SECOND)).isEqualTo(new VersionRule.Except("v2"));
+    }
+    Arrays.sort(badSeen);
+    assertThat(badSeen[10]).isLessThan(25);
+  }
+
+  @Example
+  void testEvidenceOfAllInstancesCounts() {
+    for (int i = 0; i < 4; i++) {
+      assertThat(track.phase(SECOND)).isEqualTo(Phase.RUNNING);
+      track.setEvidence("i" + i, new Evidence(0, 1, 0, 0), new Evidence(60, 0, 60, 0));
+    }
+    assertThat(track.phase(SECOND)).isEqualTo(Phase.WITHDRAWN);
+  }
+
+  @Example
+  void testVersionThatIsSeveralTimesSlowerIsWithdrawn() {
+    track.setEvidence("own", new Evidence(8, 0, 800, 0), new Evidence(100, 0, 1_200, 0));
+    assertThat(track.phase(SECOND)).isEqualTo(Phase.WITHDRAWN);
+  }
+
+  @Example
+  void testFewFailuresOfAServiceThatFailsNowAndThenAreNoSign() {
+    track.setEvidence("own", new Evidence(12, 3, 12, 0), new Evidence(80, 20, 80, 0));
+    assertThat(track.phase(SECOND)).isEqualTo(Phase.RUNNING);
+  }
+
+  @Example
+  void testWhatIsRecordedAsCompletedStays() {
+    track.complete();
+    track.withdraw();
+    track.setEvidence("own", new Evidence(0, 40, 0, 0), Evidence.NONE);
+    assertThat(track.rule(SECOND)).isEqualTo(new VersionRule.Only("v2"));
+  }
+}
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -223,7 +223,13 @@
 
   private Placement.Terms terms(Exchange exchange, Optional<String> model) {
     VersionRule rule = rules.getOrDefault(exchange.demand().service(), new VersionRule.Any());
-    return new Placement.Terms(exchange.service(), model, rule, exchange.excluded(), instances);
+    boolean failedBefore = !exchange.excluded().isEmpty();
+    return new Placement.Terms(
+        exchange.service(),
+        model,
+        failedBefore ? rule.forRepeat() : rule,
+        exchange.excluded(),
+        instances);
   }
 
   private Optional<ModelChooser.Expected> expected(Exchange exchange, String model, long now) {
