--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -47,7 +47,7 @@
   private final EventLoop loop;
   private final Traffic traffic;
   private final StoreClient store;
-  private final ServerList servers = new ServerList();
+  private final ServerList servers = ServerList.create();
   private final RolloutControl rollouts;
   private final Members members;
   private Optional<Catalog> catalog = Optional.empty();
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -34,7 +34,9 @@
 final class Dispatcher {
   private static final long MICROS_PER_MILLI = 1_000;
   private static final double MICROS_PER_SECOND = 1_000_000;
-  private static final int LEAST_CONFIDENCE = (int) Tuning.d("confidence", 60);
+
+  /** Opinion of a model on its own answer, of 100, below which a larger one is asked. */
+  private static final int LEAST_CONFIDENCE = 60;
 
   /** A request waits for room at most this part of its time. */
   private static final double MOST_WAIT_SHARE = 0.5;
--- a/edge/src/main/java/org/kumquatplank/edge/EdgeLog.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EdgeLog.java
@@ -12,7 +12,7 @@
  */
 final class EdgeLog {
   /** One in so many good answers is logged; refusals, failures and repeats always are. */
-  private static final int GOOD_SAMPLE = (int) Tuning.d("sample", 16);
+  private static final int GOOD_SAMPLE = 16;
 
   private static final Logger LOGGER = LoggerFactory.getLogger("edge");
   private static final AtomicLong GOOD = new AtomicLong();
--- a/edge/src/main/java/org/kumquatplank/edge/ServerList.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ServerList.java
@@ -27,6 +27,12 @@
   private long graceUntil = Long.MIN_VALUE;
   private boolean changed;
 
+  private ServerList() {}
+
+  static ServerList create() {
+    return new ServerList();
+  }
+
   void onListing(List<StoreRecord> records, long now) {
     Map<String, StoreRecord> listed = StoreFollower.byKey(records);
     records.forEach(r -> apply(r, now));
--- /dev/null
+++ b/edge/src/test/java/org/kumquatplank/edge/ServerListTest.java
@@ -0,0 +1,63 @@
+package org.kumquatplank.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Example;
+import org.kumquatplank.platform.store.StoreRecord;
+
+class ServerListTest {
+  private static final long SECOND = 1_000_000;
+
+  private final ServerList list = ServerList.create();
+
+  private static StoreRecord entry(long offset, String id) {
+    String text =
+        "{\"service\":\"x\",\"address\":\"10.1.0.9:80\",\"zone\":\"a\",\"version\":\"v1\","
+            + "\"slots\":6,\"state\":\"ready\",\"born\":1}";
+    return new StoreRecord(offset, id, Optional.of(text.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private static StoreRecord dropped(long offset, String id) {
+    return new StoreRecord(offset, id, Optional.empty());
+  }
+
+  private int sizeAt(long now) {
+    list.takeChange(now);
+    return list.size();
+  }
+
+  @Example
+  void testDroppedEntryIsGoneAtOnce() {
+    list.onListing(List.of(entry(0, "a"), entry(1, "b")), 0);
+    list.onChanges(List.of(dropped(2, "a")), SECOND);
+    assertThat(sizeAt(SECOND)).isEqualTo(1);
+  }
+
+  /** Entries that lapsed while the store was away may be back within two seconds. */
+  @Example
+  void testEntryThatLapsedInAnOutageCountsForTwoSeconds() {
+    list.onListing(List.of(entry(0, "a"), entry(1, "b")), 0);
+    list.onRegained(5 * SECOND, 10 * SECOND);
+    list.onChanges(List.of(dropped(2, "a"), dropped(3, "b")), 10 * SECOND);
+    assertThat(sizeAt(11 * SECOND)).isEqualTo(2);
+    list.onChanges(List.of(entry(4, "a")), 11 * SECOND);
+    assertThat(sizeAt(13 * SECOND)).isEqualTo(1);
+  }
+
+  @Example
+  void testListingDropsWhatItDoesNotHold() {
+    list.onListing(List.of(entry(0, "a"), entry(1, "b")), 0);
+    list.onListing(List.of(entry(2, "b")), SECOND);
+    assertThat(sizeAt(SECOND)).isEqualTo(1);
+  }
+
+  @Example
+  void testUnreadableEntryChangesNothing() {
+    list.onListing(List.of(entry(0, "a")), 0);
+    list.onChanges(List.of(new StoreRecord(1, "a", Optional.of(new byte[] {1, 2}))), 1);
+    assertThat(sizeAt(1)).isEqualTo(1);
+  }
+}
