--- a/cli/src/main/java/org/kumquatplank/cli/CommandLine.java
+++ b/cli/src/main/java/org/kumquatplank/cli/CommandLine.java
@@ -1,5 +1,6 @@
 package org.kumquatplank.cli;
 
+import java.util.List;
 import java.util.Map;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -102,6 +103,12 @@
     Subparser explain =
         add(commands, "explain", "explain", "print why a request was decided as it was");
     explain.addArgument("request").help("request id, from the header Request-Id");
+    explain
+        .addArgument("--logs")
+        .nargs("+")
+        .setDefault(List.of())
+        .metavar("FILE")
+        .help("tell it from these log files of all instances instead; - reads standard input");
     add(commands, "metrics", "metrics", "print the metrics of an instance");
     add(commands, "drain", "drain", "shut the instance at --admin down gracefully");
     Subparsers log =
--- a/cli/src/main/java/org/kumquatplank/cli/InspectCommands.java
+++ b/cli/src/main/java/org/kumquatplank/cli/InspectCommands.java
@@ -4,7 +4,13 @@
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonParser;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -80,6 +86,33 @@
     return ExitStatus.DONE;
   }
 
+  /** Tells the story of a request from log files; {@code -} is standard input. */
+  int explain(List<String> logs, String request) {
+    LogStory story = LogStory.of(request);
+    for (String log : logs) {
+      try (BufferedReader lines = open(log)) {
+        lines.lines().forEach(story::add);
+      } catch (IOException e) {
+        throw CommandException.usage("can't read " + log + ": " + e.getMessage());
+      }
+    }
+    story.tell().forEach(out::println);
+    if (story.unreadable() > 0) {
+      out.println(story.unreadable() + " lines name the request and can't be read");
+    }
+    if (story.tell().isEmpty()) {
+      out.println("no line is about " + request + "; good answers are logged as a sample");
+      return ExitStatus.FAILED;
+    }
+    return ExitStatus.DONE;
+  }
+
+  private static BufferedReader open(String log) throws IOException {
+    return log.equals("-")
+        ? new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))
+        : Files.newBufferedReader(Path.of(log));
+  }
+
   int addresses(String entry, String region, boolean json) {
     String query = region.isEmpty() ? "" : "?region=" + region;
     String body = ask(entry, Request.get("/v1/addresses" + query)).body();
--- a/cli/src/main/java/org/kumquatplank/cli/Main.java
+++ b/cli/src/main/java/org/kumquatplank/cli/Main.java
@@ -59,7 +59,7 @@
       case "addresses" -> inspect.addresses(entry(), args.getString("region"), json());
       case "send" ->
           inspect.send(entry(), secret(API_KEY), args.getString("class"), args.getString("text"));
-      case "explain" -> inspect.explain(client(), args.getString("request"));
+      case "explain" -> explain(inspect, args.getList("logs"));
       case "metrics" -> inspect.metrics(client());
       case "drain" -> inspect.drain(client());
       case "log tail" -> inspect.logTail(client(), args.getString("stream"), args.getLong("from"));
@@ -67,6 +67,11 @@
     };
   }
 
+  private int explain(InspectCommands inspect, List<String> logs) {
+    String request = args.getString("request");
+    return logs.isEmpty() ? inspect.explain(client(), request) : inspect.explain(logs, request);
+  }
+
   private Path file() {
     return Path.of(args.getString("file"));
   }
