--- a/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
@@ -12,12 +12,6 @@
  * go out and the engines stay free. Immutable and thread-safe.
  */
 public final class ModelChooser {
-  /** Part of the time left that may go by in a queue before a large prompt is begun. */
-  private static final double MOST_QUEUE_SHARE = 0.2;
-
-  /** A larger model is seldom asked when it takes more than this part of the time left. */
-  private static final double MOST_REPEAT_SHARE = 0.6;
-
   private final int leastConfidence;
 
   private ModelChooser(int leastConfidence) {
@@ -49,31 +43,14 @@
    */
   public record Expected(double totalMicros, double queueMicros) {}
 
-  /**
-   * Returns the model to ask first, or nothing where the caller has named it.
-   *
-   * <p>A prompt that is too large to be read twice in time goes to the largest model at once, as
-   * long as little waits there.
-   */
-  public Optional<String> first(Demand demand, FirstEventEstimate estimate, long now) {
+  /** Returns the model to ask first, or nothing where the caller has named it. */
+  public Optional<String> first(Demand demand) {
     List<String> models = demand.route().models();
     if (models.isEmpty()) {
       return Optional.empty();
     }
-    String smallest = models.get(0);
-    String largest = models.get(models.size() - 1);
     boolean mayAskAgain = demand.route().isRepeatable() && demand.route().maxSends() > 1;
-    if (!mayAskAgain) {
-      return Optional.of(largest);
-    }
-    double left = demand.target() - now;
-    double first = estimate.of(smallest).map(Expected::totalMicros).orElse(0.0);
-    return estimate
-        .of(largest)
-        .filter(e -> first + e.totalMicros() / MOST_REPEAT_SHARE > left)
-        .filter(e -> e.totalMicros() <= left && e.queueMicros() <= MOST_QUEUE_SHARE * left)
-        .map(e -> largest)
-        .or(() -> Optional.of(smallest));
+    return Optional.of(mayAskAgain ? models.get(0) : models.get(models.size() - 1));
   }
 
   /**
--- a/core/src/main/java/org/kumquatplank/core/dispatch/Patience.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/Patience.java
@@ -13,7 +13,7 @@
   private static final long MICROS_PER_MILLI = 1_000;
 
   /** A backend server that answered nobody for this long may be dead, microseconds. */
-  private static final long QUIET_MICROS = 350_000;
+  private static final long QUIET_MICROS = 900_000;
 
   /** Parts of the target after which an answer is overdue. */
   private static final double QUIET_TARGET_SHARE = 0.4;
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -207,7 +207,7 @@
   private boolean tryPlace(Exchange exchange, long now) {
     Demand demand = exchange.demand();
     if (exchange.model().isEmpty() && exchange.choosesModel()) {
-      exchange.setModel(models.first(demand, m -> expected(exchange, m, now), now));
+      exchange.setModel(models.first(demand));
     }
     Optional<Placement.Choice> choice =
         placement.choose(backends.ofService(demand.service()), demand, terms(exchange), now);
