--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/AnswerBuffer.java
@@ -0,0 +1,37 @@
+package org.kumquatplank.edge;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A plain answer as it arrives, kept until it is whole. Not thread-safe. */
+final class AnswerBuffer {
+  private static final int MOST_BYTES = 8 * 1024 * 1024;
+
+  private final List<byte[]> parts = new ArrayList<>();
+  private int size;
+
+  void add(ByteBuf bytes) {
+    byte[] copy = new byte[bytes.readableBytes()];
+    bytes.readBytes(copy);
+    parts.add(copy);
+    size += copy.length;
+  }
+
+  boolean isTooLarge() {
+    return size > MOST_BYTES;
+  }
+
+  void clear() {
+    parts.clear();
+    size = 0;
+  }
+
+  /** Returns all bytes and forgets them. */
+  ByteBuf take() {
+    ByteBuf all = Unpooled.wrappedBuffer(parts.toArray(new byte[0][]));
+    clear();
+    return all;
+  }
+}
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -377,8 +377,8 @@
           .addKeyValue("model", exchange.model().orElse(""))
           .addKeyValue("sends", exchange.sends())
           .addKeyValue("ms", (Clock.micros() - demand.arrived()) / MICROS_PER_MILLI)
-          .addKeyValue("first_ms", exchange.firstPartMicros() / MICROS_PER_MILLI)
-          .addKeyValue("pause_ms", exchange.longestPauseMicros() / MICROS_PER_MILLI)
+          .addKeyValue("first_ms", exchange.times().firstMicros() / MICROS_PER_MILLI)
+          .addKeyValue("pause_ms", exchange.times().longestPauseMicros() / MICROS_PER_MILLI)
           .addKeyValue("prompt", demand.promptTokens())
           .addKeyValue(
               "backend", exchange.call().map(c -> c.choice().backend().server().id()).orElse(""))
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -1,10 +1,7 @@
 package org.kumquatplank.edge;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -28,7 +25,6 @@
  */
 final class Exchange {
   private static final long MICROS_PER_MILLI = 1_000;
-  private static final int MOST_ANSWER_BYTES = 8 * 1024 * 1024;
 
   /** Backend servers that could not be reached do not count as sends, but not without end. */
   private static final int MOST_UNREACHED = 4;
@@ -42,17 +38,14 @@
   private final SendLedger ledger = SendLedger.create();
   private final Set<BackendState> excluded = new HashSet<>();
   private final EventSplitter events = new EventSplitter();
-  private final List<byte[]> buffered = new ArrayList<>();
-  private int bufferedBytes;
+  private final AnswerBuffer buffer = new AnswerBuffer();
+  private final StreamTimes times;
   private Optional<String> model = Optional.empty();
   private BackendCall call;
   private int sends;
   private int unreached;
   private boolean waiting;
   private boolean streaming;
-  private long lastPartAt;
-  private long firstPartMicros = -1;
-  private long longestPauseMicros;
   private boolean done;
   private Optional<KeptFailure> keptFailure = Optional.empty();
 
@@ -69,6 +62,7 @@
     this.body = body;
     this.demand = demand;
     this.service = service;
+    this.times = new StreamTimes(demand.arrived());
   }
 
   /** A failure of a backend server, which is the answer if no repeat brings a better one. */
@@ -94,6 +88,10 @@
     return excluded;
   }
 
+  StreamTimes times() {
+    return times;
+  }
+
   boolean isDone() {
     return done;
   }
@@ -106,10 +104,6 @@
     waiting = nowWaiting;
   }
 
-  boolean hasBeenSent() {
-    return sends > 0;
-  }
-
   Optional<BackendCall> call() {
     return Optional.ofNullable(call);
   }
@@ -171,7 +165,7 @@
   private void repeat(BackendCall ended, String reason) {
     excluded.add(ended.choice().backend());
     events.dropPartial();
-    clearBuffer();
+    buffer.clear();
     EdgeLog.event("repeat")
         .addKeyValue("id", demand.id())
         .addKeyValue("reason", reason)
@@ -181,11 +175,6 @@
     dispatcher.place(this);
   }
 
-  private void clearBuffer() {
-    buffered.clear();
-    bufferedBytes = 0;
-  }
-
   // ---- answers
 
   void onHead(BackendCall from, BackendHead answer) {
@@ -220,11 +209,8 @@
       onStreamBytes(from, answer, bytes);
       return;
     }
-    byte[] copy = new byte[bytes.readableBytes()];
-    bytes.readBytes(copy);
-    buffered.add(copy);
-    bufferedBytes += copy.length;
-    if (bufferedBytes > MOST_ANSWER_BYTES) {
+    buffer.add(bytes);
+    if (buffer.isTooLarge()) {
       from.cancel();
       onBroken(from, "an answer that is too large");
     }
@@ -239,7 +225,7 @@
     }
     if (whole.isPresent()) {
       beginStream(answer);
-      notePart();
+      times.note(Clock.micros());
       caller.sendPart(whole.get());
       if (!caller.isWritable()) {
         from.setReading(false);
@@ -247,26 +233,6 @@
     }
   }
 
-  private void notePart() {
-    long now = Clock.micros();
-    if (firstPartMicros < 0) {
-      firstPartMicros = now - demand.arrived();
-    } else {
-      longestPauseMicros = Math.max(longestPauseMicros, now - lastPartAt);
-    }
-    lastPartAt = now;
-  }
-
-  /** Returns the time to the first event, microseconds, or a negative number without one. */
-  long firstPartMicros() {
-    return firstPartMicros;
-  }
-
-  /** Returns the longest pause between two events, microseconds. */
-  long longestPauseMicros() {
-    return longestPauseMicros;
-  }
-
   private void beginStream(BackendHead answer) {
     if (!streaming) {
       streaming = true;
@@ -294,7 +260,7 @@
     } else {
       dispatcher.onGood(this, from, 1);
       finish("answered");
-      caller.answer(answer.status(), answer.passed(), takeBuffered());
+      caller.answer(answer.status(), answer.passed(), buffer.take());
     }
   }
 
@@ -322,7 +288,7 @@
 
   private void onFailureAnswer(BackendCall from, BackendHead answer) {
     dispatcher.onBad(this, from, "status " + answer.status());
-    KeptFailure failure = new KeptFailure(answer, takeBuffered());
+    KeptFailure failure = new KeptFailure(answer, buffer.take());
     if (mayRepeat(true)) {
       keptFailure = Optional.of(failure);
       repeat(from, "failed with " + answer.status());
@@ -338,17 +304,6 @@
     caller.answer(failure.head().status(), failure.head().passed(), failure.body());
   }
 
-  private ByteBuf takeBuffered() {
-    byte[] all = new byte[bufferedBytes];
-    int at = 0;
-    for (byte[] part : buffered) {
-      System.arraycopy(part, 0, all, at, part.length);
-      at += part.length;
-    }
-    clearBuffer();
-    return Unpooled.wrappedBuffer(all);
-  }
-
   void onBroken(BackendCall from, String reason) {
     if (done) {
       return;
@@ -414,12 +369,7 @@
             ? OptionalDouble.of(dispatcher.retrySeconds(this))
             : OptionalDouble.empty();
     finish(verdict + ": " + reason);
-    OwnAnswer answer =
-        switch (verdict) {
-          case NOT_RUN -> OwnAnswer.NOT_RUN;
-          case UNKNOWN -> OwnAnswer.UNKNOWN;
-          case UNKNOWN_IN_TIME -> OwnAnswer.UNKNOWN_IN_TIME;
-        };
+    OwnAnswer answer = OwnAnswer.of(verdict);
     caller.answer(CallerProtocol.answer(answer, head.id(), retry, reason));
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -32,6 +32,8 @@
   private boolean failing;
 
   /**
+   * Prepares to follow a topic.
+   *
    * @param waitMillis how long a read waits at the store for a change, milliseconds
    * @param pauseMillis pause between two reads, milliseconds
    */
