--- a/edge/src/main/java/org/kumquatplank/edge/Members.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Members.java
@@ -70,7 +70,7 @@
 
                   @Override
                   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                    // An address that refuses datagrams; the next round shows who is there.
+                    EdgeLog.problem("members", cause);
                   }
                 })
             .bind(address)
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutControl.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutControl.java
@@ -202,7 +202,11 @@
         .whenComplete(
             (page, failure) -> {
               writing = false;
-              if (failure == null) {
+              if (failure != null) {
+                EdgeLog.event("rollout_status_unread")
+                    .addKeyValue("cause", String.valueOf(failure.getMessage()))
+                    .log();
+              } else {
                 readStatus(page.records(), Clock.micros());
                 if (leader) {
                   write(page.next(), Clock.micros());
