--- a/core/src/main/java/org/kumquatplank/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/WaitingLine.java
@@ -16,6 +16,9 @@
  * @param <T> what waits
  */
 public final class WaitingLine<T> {
+  /** Where this many could not start, there is no room for the others either. */
+  private static final int MOST_FAILED_STARTS = 3;
+
   private final List<Waiting<T>> waiting = new ArrayList<>();
   private final Map<String, Integer> runningByAccount = new HashMap<>();
 
@@ -93,7 +96,4 @@
       }
     }
   }
-
-  /** Where this many could not start, there is no room for the others either. */
-  private static final int MOST_FAILED_STARTS = 3;
 }
