Let one instance of a region read the store and tell the others

Change: an instance reads a topic unless one with a smaller name told it within 2.2 s what the store holds (core.relay.ReadingDuty, pure). Digests go to near instances first, and peers' loads are handed to the traffic thread in one step. A test of the entry failed once: a port that was free was taken by an outgoing connection before it was bound. The fixture now takes ports below the system's range.

--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,8 +14,10 @@
 import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.relay.ReadingDuty;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.EdgeLoad;
+import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreClient;
 import org.kumquatplank.platform.store.StoreRecord;
 import org.kumquatplank.platform.wire.CatalogDecoder;
@@ -33,14 +36,22 @@
   private static final String INSTANCES_TOPIC = "instances";
 
   /** A change is told by the store at once; a silent connection is noticed after this. */
-  private static final long OPERATOR_WAIT_MILLIS = 1_500;
+  private static final long OPERATOR_WAIT_MILLIS = 1_000;
 
   /** The list changes all the time and is read at intervals well under the time to drain. */
   private static final long SERVERS_PAUSE_MILLIS = 800;
 
   private static final long DIGEST_MILLIS = 250;
   private static final long STEP_MILLIS = 200;
+
+  /** News of another instance count as long: two lost datagrams, and well under a bound of 3 s. */
+  private static final long NEWS_FRESH_MICROS = 2_200_000;
+
   private static final long INSTANCES_MILLIS = 15_000;
+
+  /** Instances that know others hear of new ones from them. */
+  private static final long INSTANCES_KNOWN_MILLIS = 60_000;
+
   private static final long INSTANCES_RETRY_MILLIS = 500;
 
   private final EdgeSettings settings;
@@ -50,9 +61,12 @@
   private final ServerList servers = ServerList.create();
   private final RolloutControl rollouts;
   private final Members members;
+  private final StoreFollower operatorRecords;
+  private final StoreFollower serverRecords;
   private Optional<Catalog> catalog = Optional.empty();
   private Map<String, VersionRule> rules = Map.of();
   private TrafficReport report = TrafficReport.NOTHING;
+  private final Map<String, List<PeerLoad>> newLoads = new HashMap<>();
   private boolean leaving;
 
   ControlPlane(EdgeSettings settings, long startedMillis, EventLoop loop, Traffic traffic) {
@@ -61,7 +75,21 @@
     this.traffic = traffic;
     this.store = StoreClient.create(loop, settings.store());
     this.rollouts = new RolloutControl(store);
-    this.members = new Members(settings.instance(), startedMillis, this::onDigest);
+    this.members =
+        new Members(
+            settings.instance(), settings.zone(), settings.region(), startedMillis, new News());
+    this.operatorRecords =
+        follower(
+            new StoreFollower.Topic(OPERATOR_TOPIC, OPERATOR_WAIT_MILLIS, 0),
+            new OperatorRecords());
+    this.serverRecords =
+        follower(
+            new StoreFollower.Topic(SERVERS_TOPIC, 0, SERVERS_PAUSE_MILLIS), new ServerRecords());
+  }
+
+  private StoreFollower follower(StoreFollower.Topic topic, StoreFollower.Listener listener) {
+    ReadingDuty duty = ReadingDuty.create(settings.instance(), NEWS_FRESH_MICROS);
+    return new StoreFollower(loop, store, topic, duty, listener);
   }
 
   void start() {
@@ -77,10 +105,8 @@
         members.contact(new InetSocketAddress(seed, settings.firstPeerPort()), now);
       }
     }
-    new StoreFollower(loop, store, OPERATOR_TOPIC, OPERATOR_WAIT_MILLIS, 0, new OperatorRecords())
-        .start();
-    new StoreFollower(loop, store, SERVERS_TOPIC, 0, SERVERS_PAUSE_MILLIS, new ServerRecords())
-        .start();
+    operatorRecords.start();
+    serverRecords.start();
     announce();
     loop.scheduleAtFixedRate(this::sendDigest, 0, DIGEST_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(this::step, STEP_MILLIS, STEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -108,19 +134,32 @@
 
   /** Takes the operator's records. */
   private final class OperatorRecords implements StoreFollower.Listener {
+    private final TopicNews news = new TopicNews(settings.instance(), OPERATOR_TOPIC);
+
     @Override
     public void onListing(List<StoreRecord> records) {
       onChanges(records);
     }
 
     @Override
-    public void onChanges(List<StoreRecord> records) {
+    public List<StoreRecord> onChanges(List<StoreRecord> records) {
       records.forEach(r -> StoreFollower.each(r, ControlPlane.this::onOperatorRecord));
       publishRules();
+      return records;
     }
 
     @Override
     public void onRegained(long outageMicros) {}
+
+    @Override
+    public void onConfirmed(StoreFollower.Told told) {
+      tell(news, told, Long.MIN_VALUE);
+    }
+  }
+
+  private void tell(TopicNews news, StoreFollower.Told told, long graceUntil) {
+    long now = Clock.micros();
+    members.send(news.after(told, graceUntil, members.mostRelayBytes(now), now), now);
   }
 
   private void onOperatorRecord(StoreRecord record) {
@@ -145,6 +184,8 @@
 
   /** Takes the backend servers' records. */
   private final class ServerRecords implements StoreFollower.Listener {
+    private final TopicNews news = new TopicNews(settings.instance(), SERVERS_TOPIC);
+
     @Override
     public void onListing(List<StoreRecord> records) {
       servers.onListing(records, Clock.micros());
@@ -152,15 +193,21 @@
     }
 
     @Override
-    public void onChanges(List<StoreRecord> records) {
-      servers.onChanges(records, Clock.micros());
+    public List<StoreRecord> onChanges(List<StoreRecord> records) {
+      List<StoreRecord> changed = servers.onChanges(records, Clock.micros());
       publishServers();
+      return changed;
     }
 
     @Override
     public void onRegained(long outageMicros) {
       servers.onRegained(outageMicros, Clock.micros());
     }
+
+    @Override
+    public void onConfirmed(StoreFollower.Told told) {
+      tell(news, told, servers.graceUntil());
+    }
   }
 
   private void publishServers() {
@@ -206,11 +253,31 @@
               if (failure == null) {
                 page.records().forEach(this::onInstance);
               }
-              long pause = failure == null ? INSTANCES_MILLIS : INSTANCES_RETRY_MILLIS;
+              boolean alone = members.live(Clock.micros()).isEmpty();
+              long good = alone ? INSTANCES_MILLIS : INSTANCES_KNOWN_MILLIS;
+              long pause = failure == null ? good : INSTANCES_RETRY_MILLIS;
               loop.schedule(this::findInstances, pause, TimeUnit.MILLISECONDS);
             });
   }
 
+  /** Takes what other instances tell. */
+  private final class News implements Members.Listener {
+    @Override
+    public void onDigest(EdgeDigest digest) {
+      ControlPlane.this.onDigest(digest);
+    }
+
+    @Override
+    public void onRelay(TopicRelay relay) {
+      long now = Clock.micros();
+      if (relay.getTopic().equals(OPERATOR_TOPIC)) {
+        TopicNews.deliver(relay, now, operatorRecords, until -> {});
+      } else if (relay.getTopic().equals(SERVERS_TOPIC)) {
+        TopicNews.deliver(relay, now, serverRecords, servers::extendGrace);
+      }
+    }
+  }
+
   private void onInstance(StoreRecord record) {
     if (record.key().equals(settings.instance()) || record.value().isEmpty()) {
       return;
@@ -259,7 +326,7 @@
           new PeerLoad(
               load.getBackend(), load.getRequests(), load.getUnreadTokens(), load.getSuspect()));
     }
-    traffic.setPeerLoads(digest.getInstance(), loads);
+    newLoads.put(digest.getInstance(), loads);
   }
 
   private void step() {
@@ -276,6 +343,7 @@
     publishRules();
     List<EdgeDigest> ready =
         live.stream().map(Members.Peer::digest).filter(EdgeDigest::getReady).toList();
-    traffic.setPeers(ready, 1 + live.size());
+    traffic.setPeers(ready, 1 + live.size(), Map.copyOf(newLoads));
+    newLoads.clear();
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/Members.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Members.java
@@ -17,8 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.Consumer;
+import org.kumquatplank.link.proto.EdgeDatagram;
 import org.kumquatplank.link.proto.EdgeDigest;
+import org.kumquatplank.link.proto.TopicRelay;
 
 /**
  * The other instances, by the digests that they send.
@@ -30,29 +31,48 @@
   /** Instances that one digest is sent to: with more of them each is told less often. */
   private static final int FAN_OUT = 6;
 
+  /** Instances of the own failure domain among them: they use the same backend servers first. */
+  private static final int NEAR_FAN_OUT = 4;
+
   /** An instance that five digests in a row did not come from is taken to be gone. */
   private static final long SILENT_MICROS = 1_400_000;
 
+  /** What one round of relays may put on the link of this instance, bytes: 0.3 s at 10 Mbit/s. */
+  private static final int RELAY_ROUND_BYTES = 400_000;
+
   /** An address at which nobody answers is asked for this long. */
   private static final long CONTACT_MICROS = 20_000_000;
 
   private static final int MOST_DATAGRAM_BYTES = 60_000;
 
   private final String self;
+  private final String zone;
+  private final String region;
   private final long startedMillis;
   private final Random random = new Random();
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<InetSocketAddress, Long> contacts = new HashMap<>();
-  private final Consumer<EdgeDigest> listener;
+  private final Listener listener;
   private Channel channel;
   private int round;
 
-  Members(String self, long startedMillis, Consumer<EdgeDigest> listener) {
+  Members(String self, String zone, String region, long startedMillis, Listener listener) {
     this.self = self;
+    this.zone = zone;
+    this.region = region;
     this.startedMillis = startedMillis;
     this.listener = listener;
   }
 
+  /** Takes what other instances tell. */
+  interface Listener {
+    /** Another instance says how it is and what it has under way. */
+    void onDigest(EdgeDigest digest);
+
+    /** Another instance says what it read from the store. */
+    void onRelay(TopicRelay relay);
+  }
+
   /** Another instance, and when it was last heard of. */
   record Peer(EdgeDigest digest, InetSocketAddress address, long heardAt) {}
 
@@ -84,13 +104,21 @@
   }
 
   private void receive(DatagramPacket packet) {
-    EdgeDigest digest;
+    EdgeDatagram datagram;
     try (ByteBufInputStream in = new ByteBufInputStream(packet.content())) {
-      digest = EdgeDigest.parseFrom(in);
+      datagram = EdgeDatagram.parseFrom(in);
     } catch (IOException e) {
-      EdgeLog.problem("digest", e);
+      EdgeLog.problem("datagram", e);
       return;
     }
+    switch (datagram.getContentCase()) {
+      case DIGEST -> receive(datagram.getDigest(), packet);
+      case RELAY -> listener.onRelay(datagram.getRelay());
+      case CONTENT_NOT_SET -> EdgeLog.event("empty_datagram").log();
+    }
+  }
+
+  private void receive(EdgeDigest digest, DatagramPacket packet) {
     if (digest.getInstance().equals(self)) {
       return;
     }
@@ -111,7 +139,7 @@
         contact(other, now);
       }
     }
-    listener.accept(digest);
+    listener.onDigest(digest);
   }
 
   /** Sends the digest of this instance to some others. */
@@ -123,14 +151,12 @@
       digest.addKnownPeers(
           peer.address().getAddress().getHostAddress() + ":" + peer.address().getPort());
     }
-    byte[] bytes = digest.build().toByteArray();
+    byte[] bytes = EdgeDatagram.newBuilder().setDigest(digest).build().toByteArray();
     if (bytes.length > MOST_DATAGRAM_BYTES) {
       EdgeLog.event("digest_too_large").addKeyValue("bytes", bytes.length).log();
       return;
     }
-    for (Peer peer : live.subList(0, Math.min(FAN_OUT, live.size()))) {
-      write(bytes, peer.address());
-    }
+    toldNow(live).forEach(peer -> write(bytes, peer.address()));
     contacts.values().removeIf(until -> until < now);
     round++;
     if (round % 2 == 0) {
@@ -141,17 +167,47 @@
     channel.flush();
   }
 
+  /** Returns some near instances and some of the others. */
+  private List<Peer> toldNow(List<Peer> shuffled) {
+    List<Peer> near = shuffled.stream().filter(p -> p.digest().getZone().equals(zone)).toList();
+    List<Peer> far = shuffled.stream().filter(p -> !p.digest().getZone().equals(zone)).toList();
+    List<Peer> told = new ArrayList<>(near.subList(0, Math.min(NEAR_FAN_OUT, near.size())));
+    told.addAll(far.subList(0, Math.min(FAN_OUT - told.size(), far.size())));
+    return told;
+  }
+
+  /** Returns how large a relay may be. */
+  int mostRelayBytes(long now) {
+    int receivers = Math.max(1, inRegion(now).size());
+    return Math.min(MOST_DATAGRAM_BYTES, RELAY_ROUND_BYTES / receivers);
+  }
+
+  private List<Peer> inRegion(long now) {
+    return live(now).stream().filter(p -> p.digest().getRegion().equals(region)).toList();
+  }
+
+  /** Tells all instances of the region what the store holds. */
+  void send(TopicRelay relay, long now) {
+    byte[] bytes = EdgeDatagram.newBuilder().setRelay(relay).build().toByteArray();
+    inRegion(now).forEach(peer -> write(bytes, peer.address()));
+    channel.flush();
+  }
+
   private void write(byte[] bytes, InetSocketAddress address) {
     channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
   }
 
   /** Returns the instances that were heard of lately. */
   List<Peer> live(long now) {
-    long silent = SILENT_MICROS * Math.max(1, peers.size() / FAN_OUT);
+    long near = peers.values().stream().filter(p -> p.digest().getZone().equals(zone)).count();
+    long nearSilent = SILENT_MICROS * Math.max(1, near / NEAR_FAN_OUT);
+    long farSilent = SILENT_MICROS * Math.max(1, peers.size() / (FAN_OUT - NEAR_FAN_OUT));
+    long silent = peers.size() <= FAN_OUT ? SILENT_MICROS : farSilent;
     peers.values().removeIf(p -> now - p.heardAt() > 10 * silent);
     List<Peer> live = new ArrayList<>();
     for (Peer peer : peers.values()) {
-      if (now - peer.heardAt() < silent) {
+      boolean isNear = peer.digest().getZone().equals(zone);
+      if (now - peer.heardAt() < (isNear ? Math.min(silent, nearSilent) : silent)) {
         live.add(peer);
       }
     }
--- a/edge/src/main/java/org/kumquatplank/edge/ServerList.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ServerList.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.platform.store.StoreRecord;
 import org.kumquatplank.platform.wire.BackendDecoder;
@@ -43,8 +44,9 @@
     }
   }
 
-  void onChanges(List<StoreRecord> records, long now) {
-    records.forEach(r -> apply(r, now));
+  /** Takes records, and returns those that changed something. */
+  List<StoreRecord> onChanges(List<StoreRecord> records, long now) {
+    return records.stream().filter(r -> apply(r, now)).toList();
   }
 
   void onRegained(long outageMicros, long now) {
@@ -53,20 +55,33 @@
     }
   }
 
-  private void apply(StoreRecord record, long now) {
-    Optional<byte[]> value = record.value();
-    if (value.isEmpty()) {
+  /** Returns until when entries that lapse still count, microseconds. */
+  long graceUntil() {
+    return graceUntil;
+  }
+
+  /** Notes what another instance knows of an outage of the store. */
+  void extendGrace(long until) {
+    graceUntil = Math.max(graceUntil, until);
+  }
+
+  /** Applies a record, and returns whether it changed more than the time of the last sign. */
+  private boolean apply(StoreRecord record, long now) {
+    if (record.value().isEmpty()) {
+      boolean known = servers.containsKey(record.key());
       remove(record.key(), now);
-      return;
+      return known;
     }
-    StoreFollower.each(
-        record,
-        r -> {
-          BackendServer server = BackendDecoder.decode(r.key(), value.get());
-          lapsedUntil.remove(r.key());
-          BackendServer old = servers.put(r.key(), server);
-          changed |= !server.equals(old);
-        });
+    AtomicBoolean differs = new AtomicBoolean();
+    StoreFollower.each(record, r -> differs.set(put(r.key(), r.value().orElseThrow())));
+    changed |= differs.get();
+    return differs.get();
+  }
+
+  private boolean put(String id, byte[] value) {
+    BackendServer server = BackendDecoder.decode(id, value);
+    boolean lapsed = lapsedUntil.remove(id) != null;
+    return !server.equals(servers.put(id, server)) || lapsed;
   }
 
   private void remove(String id, long now) {
--- a/edge/src/main/java/org/kumquatplank/edge/Traffic.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Traffic.java
@@ -166,12 +166,12 @@
     loop.execute(() -> dispatcher.setRules(rules));
   }
 
-  void setPeerLoads(String peer, List<PeerLoad> loads) {
-    loop.execute(() -> dispatcher.setPeerLoads(peer, loads));
-  }
-
-  /** Sets the other instances that take requests, and how many are live with this one. */
-  void setPeers(List<EdgeDigest> ready, int live) {
+  /**
+   * Sets the other instances that take requests, and how many are live with this one.
+   *
+   * @param loads work that some of them have under way, by instance
+   */
+  void setPeers(List<EdgeDigest> ready, int live, Map<String, List<PeerLoad>> loads) {
     List<AddressBook.Instance> list = new ArrayList<>();
     for (EdgeDigest peer : ready) {
       list.add(new AddressBook.Instance(peer.getFrontAddress(), peer.getZone(), peer.getRegion()));
@@ -187,6 +187,7 @@
           }
           addresses.set(list);
           dispatcher.setInstances(live);
+          loads.forEach(dispatcher::setPeerLoads);
         });
   }
 
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -17,6 +17,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.kumquatplank.platform.wire.EdgeSettings;
@@ -29,6 +30,10 @@
 final class EdgeFixture implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
   private static final long PATIENCE_MILLIS = 8_000;
+  private static final int FIRST_PORT = 20_000;
+  private static final int PORTS = 10_000;
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * 64 % PORTS));
 
   private final StoreStandIn store;
   private final List<ReplicaStandIn> replicas = new ArrayList<>();
@@ -62,9 +67,20 @@
     return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   }
 
-  private static InetSocketAddress free() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+  /**
+   * Returns an address on which nobody listens.
+   *
+   * <p>The port lies below those that the system gives to outgoing connections: one of these took a
+   * free port before it was bound.
+   */
+  private static InetSocketAddress free() {
+    while (true) {
+      int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+      try (ServerSocket socket = new ServerSocket(port)) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+      } catch (IOException e) {
+        // Somebody else listens there: the next one is tried.
+      }
     }
   }
 
