--- a/edge/src/main/java/org/kumquatplank/edge/Members.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Members.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -43,7 +45,8 @@
   /** An address at which nobody answers is asked for this long. */
   private static final long CONTACT_MICROS = 20_000_000;
 
-  private static final int MOST_DATAGRAM_BYTES = 60_000;
+  /** Larger than any digest, and small enough for a buffer of its own for each datagram. */
+  private static final int MOST_DATAGRAM_BYTES = 32_000;
 
   private final String self;
   private final String zone;
@@ -81,6 +84,8 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_DATAGRAM_BYTES))
             .handler(
                 new SimpleChannelInboundHandler<DatagramPacket>() {
                   @Override
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -73,7 +73,7 @@
    * <p>The port lies below those that the system gives to outgoing connections: one of these took a
    * free port before it was bound.
    */
-  private static InetSocketAddress free() {
+  static InetSocketAddress free() {
     while (true) {
       int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
       try (ServerSocket socket = new ServerSocket(port)) {
--- /dev/null
+++ b/edge/src/test/java/org/kumquatplank/edge/MembersTest.java
@@ -0,0 +1,69 @@
+package org.kumquatplank.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.kumquatplank.link.proto.EdgeDigest;
+import org.kumquatplank.link.proto.RelayedRecord;
+import org.kumquatplank.link.proto.TopicRelay;
+
+class MembersTest {
+  private static final long PATIENCE_SECONDS = 8;
+
+  /** Queues what comes from other instances. */
+  private static final class Inbox implements Members.Listener {
+    private final BlockingQueue<EdgeDigest> digests = new LinkedBlockingQueue<>();
+    private final BlockingQueue<TopicRelay> relays = new LinkedBlockingQueue<>();
+
+    @Override
+    public void onDigest(EdgeDigest digest) {
+      digests.add(digest);
+    }
+
+    @Override
+    public void onRelay(TopicRelay relay) {
+      relays.add(relay);
+    }
+  }
+
+  @Example
+  void testLargeNewsOfTheStoreArriveWhole() throws InterruptedException {
+    EventLoop loop =
+        (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    try {
+      Inbox inboxA = new Inbox();
+      Inbox inboxB = new Inbox();
+      Members a = new Members("a", "z", "r", 1, inboxA);
+      Members b = new Members("b", "z", "r", 1, inboxB);
+      InetSocketAddress addressA = EdgeFixture.free();
+      InetSocketAddress addressB = EdgeFixture.free();
+      a.bind(loop, addressA);
+      b.bind(loop, addressB);
+      EdgeDigest.Builder digest = EdgeDigest.newBuilder().setZone("z").setRegion("r");
+      loop.execute(() -> b.contact(addressA, Clock.micros()));
+      // Contacts are asked in every second round.
+      loop.execute(() -> b.send(digest.clone(), Clock.micros()));
+      loop.execute(() -> b.send(digest.clone(), Clock.micros()));
+      assertThat(inboxA.digests.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isNotNull();
+      TopicRelay relay =
+          TopicRelay.newBuilder()
+              .setSender("a")
+              .setTopic("op")
+              .addRecords(
+                  RelayedRecord.newBuilder().setValue(ByteString.copyFrom(new byte[20_000])))
+              .build();
+      loop.execute(() -> a.send(relay, Clock.micros()));
+      assertThat(inboxB.relays.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo(relay);
+    } finally {
+      loop.parent().shutdownGracefully();
+    }
+  }
+}
