Wake up less often: fewer digests with many instances, known instances named less often

Change: digests every 0.5 s with more than 12 instances, known addresses in every fourth, ticks of 50 ms, reports of 250 ms.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -12,7 +12,7 @@
  */
 public final class BackendState {
   /** A peer's figures count for this long: three of its digests may be lost. */
-  private static final long PEER_LOAD_MICROS = 1_000_000;
+  private static final long PEER_LOAD_MICROS = 1_500_000;
 
   /** Reports describe a moment: an older one says little about the next answer. */
   private static final long REPORT_MICROS = 250_000;
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -42,7 +42,12 @@
   private static final long SERVERS_PAUSE_MILLIS = 800;
 
   private static final long DIGEST_MILLIS = 250;
-  private static final long STEP_MILLIS = 200;
+
+  /** With many instances each puts little on a backend server, and datagrams would add up. */
+  private static final int MANY_INSTANCES = 12;
+
+  private static final long MANY_DIGEST_MILLIS = 500;
+  private static final long STEP_MILLIS = 300;
 
   /** News of another instance count as long: two lost datagrams, and well under a bound of 3 s. */
   private static final long NEWS_FRESH_MICROS = 2_200_000;
@@ -108,7 +113,7 @@
     operatorRecords.start();
     serverRecords.start();
     announce();
-    loop.scheduleAtFixedRate(this::sendDigest, 0, DIGEST_MILLIS, TimeUnit.MILLISECONDS);
+    sendDigests();
     loop.scheduleAtFixedRate(this::step, STEP_MILLIS, STEP_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -295,6 +300,13 @@
     }
   }
 
+  private void sendDigests() {
+    sendDigest();
+    boolean many = members.live(Clock.micros()).size() > MANY_INSTANCES;
+    long pause = many ? MANY_DIGEST_MILLIS : DIGEST_MILLIS;
+    loop.schedule(this::sendDigests, pause, TimeUnit.MILLISECONDS);
+  }
+
   private void sendDigest() {
     long now = Clock.micros();
     EdgeDigest.Builder digest =
--- a/edge/src/main/java/org/kumquatplank/edge/Members.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Members.java
@@ -39,6 +39,11 @@
   /** An instance that five digests in a row did not come from is taken to be gone. */
   private static final long SILENT_MICROS = 1_400_000;
 
+  /** New instances are rare: each of these rounds names some that the sender knows. */
+  private static final int KNOWN_PEERS_ROUNDS = 4;
+
+  private static final int CONTACT_ROUNDS = 2;
+
   /** What one round of relays may put on the link of this instance, bytes: 0.3 s at 10 Mbit/s. */
   private static final int RELAY_ROUND_BYTES = 400_000;
 
@@ -152,9 +157,12 @@
     digest.setInstance(self).setStartedMillis(startedMillis);
     List<Peer> live = live(now);
     Collections.shuffle(live, random);
-    for (Peer peer : live.subList(0, Math.min(FAN_OUT, live.size()))) {
-      digest.addKnownPeers(
-          peer.address().getAddress().getHostAddress() + ":" + peer.address().getPort());
+    round++;
+    if (round % KNOWN_PEERS_ROUNDS == 0) {
+      for (Peer peer : live.subList(0, Math.min(FAN_OUT, live.size()))) {
+        digest.addKnownPeers(
+            peer.address().getAddress().getHostAddress() + ":" + peer.address().getPort());
+      }
     }
     byte[] bytes = EdgeDatagram.newBuilder().setDigest(digest).build().toByteArray();
     if (bytes.length > MOST_DATAGRAM_BYTES) {
@@ -163,8 +171,7 @@
     }
     toldNow(live).forEach(peer -> write(bytes, peer.address()));
     contacts.values().removeIf(until -> until < now);
-    round++;
-    if (round % 2 == 0) {
+    if (round % CONTACT_ROUNDS == 0) {
       List<InetSocketAddress> asked = new ArrayList<>(contacts.keySet());
       Collections.shuffle(asked, random);
       asked.subList(0, Math.min(FAN_OUT, asked.size())).forEach(a -> write(bytes, a));
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -23,7 +23,7 @@
   private static final long LONGEST_PAUSE_MILLIS = 600;
 
   /** How often an instance that does not read looks whether it has to. */
-  private static final long DUTY_MILLIS = 200;
+  private static final long DUTY_MILLIS = 400;
 
   private final EventLoop loop;
   private final StoreClient store;
--- a/edge/src/main/java/org/kumquatplank/edge/Traffic.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Traffic.java
@@ -33,8 +33,8 @@
  */
 final class Traffic {
   private static final int BACKLOG = 1_024;
-  private static final long TICK_MILLIS = 25;
-  private static final long REPORT_MILLIS = 200;
+  private static final long TICK_MILLIS = 50;
+  private static final long REPORT_MILLIS = 250;
   private static final long SWEEP_MILLIS = 400;
   private static final double RESOLVE_SECONDS = 2;
   private static final String JSON = "application/json";
