Read at once what news of another instance leave out

Change: a gap is read at the next look. The test fails without the change: its news never get stale.

--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -35,6 +35,7 @@
   private long lastGoodAt = Clock.micros();
   private boolean failing;
   private boolean listing;
+  private boolean missedSome;
 
   StoreFollower(
       EventLoop loop, StoreClient store, Topic topic, ReadingDuty duty, Listener listener) {
@@ -101,7 +102,7 @@
   }
 
   private void readIfDue() {
-    if (duty.reads(Clock.micros())) {
+    if (missedSome || duty.reads(Clock.micros())) {
       read();
     } else {
       loop.schedule(this::readIfDue, DUTY_MILLIS, TimeUnit.MILLISECONDS);
@@ -128,12 +129,17 @@
   private List<StoreRecord> take(StoreClient.Page page) {
     List<StoreRecord> fresh = page.records().stream().filter(r -> r.offset() >= next).toList();
     next = Math.max(next, page.next());
+    missedSome = false;
     return fresh.isEmpty() ? List.of() : listener.onChanges(fresh);
   }
 
   /** Takes what another instance tells; what was missed before it is read from the store. */
   void onTold(String sender, Told told, long confirmedAt) {
-    if (listing || next < 0 || told.from() > next) {
+    if (listing || next < 0) {
+      return;
+    }
+    if (told.from() > next) {
+      missedSome = true;
       return;
     }
     guard(() -> take(new StoreClient.Page(told.changed(), told.next())));
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -21,6 +21,10 @@
 class StoreFollowerTest {
   private static final long PATIENCE_MILLIS = 8_000;
 
+  /** So long that no test waits until the news of another instance are stale. */
+  private static final long FRESH_MICROS = 3_600_000_000L;
+
+
   /** Keeps what a follower was given, as "key=value" in order. */
   private static final class Seen implements StoreFollower.Listener {
     private final List<String> changes = Collections.synchronizedList(new ArrayList<>());
@@ -64,7 +68,7 @@
       store = StoreStandIn.open("127.0.0.1");
       client = StoreClient.create(loop, store.address());
       StoreFollower.Topic topic = new StoreFollower.Topic("t", 0, 50);
-      ReadingDuty duty = ReadingDuty.create("b", 1_000_000);
+      ReadingDuty duty = ReadingDuty.create("b", FRESH_MICROS);
       follower = new StoreFollower(loop, client, topic, duty, seen);
       loop.execute(follower::start);
       await(() -> seen.listed);
@@ -133,6 +137,18 @@
     }
   }
 
+  @Example
+  void testNewsAfterAGapAreReadThoughAnotherInstanceReads() throws IOException {
+    try (Fixture f = new Fixture()) {
+      f.told("a", 0, 0);
+      f.store.put("t", "k", "1");
+      f.store.put("t", "k", "2");
+      f.told("a", 1, 2, record(1, "k", "2"));
+      await(() -> f.seen.changes.contains("k=2"));
+      assertThat(f.seen.changes).containsExactly("k=1", "k=2");
+    }
+  }
+
   @Example
   void testInstanceThatTheStoreTurnsAwayIsToldChanges() throws IOException {
     try (Fixture f = new Fixture()) {
