Ask a larger model for large prompts too; use the whole ratio of repeats

Change: the bound falls with the square of the time; 0.95 of the ratio is used, 0.6 of the allowance. A record of an instance that can't be read no longer ends the search for instances.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/ModelChooser.java
@@ -8,8 +8,10 @@
  *
  * <p>The smallest model is asked first: it reads a prompt in a fraction of the time, and the answer
  * says how sure the model is. A larger one is asked instead when the answer is doubtful; the less
- * time or room there is for that, the more doubtful it has to be. So under a peak the cheap answers
- * go out and the engines stay free. Immutable and thread-safe.
+ * time or room there is for that, the more doubtful it has to be. The bound falls with the square
+ * of the time needed: a large prompt is worth most and needs half of its time even at an idle
+ * engine. So under a peak the cheap answers go out and the engines stay free. Immutable and
+ * thread-safe.
  */
 public final class ModelChooser {
   private final int leastConfidence;
@@ -71,7 +73,8 @@
     if (expected.isEmpty()) {
       return Optional.empty();
     }
-    double bound = leastConfidence * (1 - expected.get().totalMicros() / left);
+    double part = expected.get().totalMicros() / left;
+    double bound = leastConfidence * (1 - part * part);
     return confidence < bound ? Optional.of(largest) : Optional.empty();
   }
 }
--- a/core/src/main/java/org/kumquatplank/core/dispatch/RepeatLimit.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/RepeatLimit.java
@@ -11,8 +11,14 @@
  * of one instance is the same share of its own requests and an equal part of the allowance.
  */
 public final class RepeatLimit {
-  /** Part of the allowed repeats that is used; the rest covers instances that see fewer peers. */
-  private static final double USED_SHARE = 0.6;
+  /** Part of the allowance that is used; the rest covers instances that see fewer peers. */
+  private static final double ALLOWANCE_SHARE = 0.6;
+
+  /**
+   * Part of the ratio that is used. It needs little reserve: the parts of all instances add up to
+   * the limit whatever they know of each other.
+   */
+  private static final double RATIO_SHARE = 0.95;
 
   private final double ratio;
   private final double allowance;
@@ -52,7 +58,9 @@
   public boolean tryTake(int instances, long now) {
     drop(requests, now);
     drop(repeats, now);
-    double most = USED_SHARE * (ratio * requests.size() + allowance / Math.max(1, instances));
+    double most =
+        RATIO_SHARE * ratio * requests.size()
+            + ALLOWANCE_SHARE * allowance / Math.max(1, instances);
     if (repeats.size() + 1 > most) {
       return false;
     }
--- a/core/src/test/java/org/kumquatplank/core/dispatch/ModelChooserTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/ModelChooserTest.java
@@ -38,6 +38,14 @@
     assertThat(chooser.larger(demand, "small", 0, estimate(0, 300_000, 1_800_000), 0)).isEmpty();
   }
 
+  /** A large prompt, worth most, needs half of its time even where nothing waits. */
+  @Example
+  void testLargePromptIsAskedAgainThoughThatTakesHalfOfItsTime() {
+    FirstEventEstimate idle = estimate(0, 750_000, 0);
+    assertThat(chooser.larger(demand, "small", 40, idle, 0)).contains("large");
+    assertThat(chooser.larger(demand, "small", 50, idle, 0)).isEmpty();
+  }
+
   @Example
   void testRequestThatMayBeSentOnceGoesToTheLargest() {
     Demand once = Samples.demand(Samples.stream(1), "x");
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -62,10 +62,6 @@
     return progressAt;
   }
 
-  boolean hasHead() {
-    return head != null;
-  }
-
   /** Whether no other request of ours waited to be read there. */
   boolean wasAloneInQueue() {
     return aloneInQueue;
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -22,6 +22,7 @@
 import org.kumquatplank.platform.store.StoreRecord;
 import org.kumquatplank.platform.wire.CatalogDecoder;
 import org.kumquatplank.platform.wire.EdgeSettings;
+import org.kumquatplank.platform.wire.SettingsDecoder;
 
 /**
  * The control state: configuration, backend servers, other instances and roll-outs.
@@ -256,7 +257,7 @@
         .whenComplete(
             (page, failure) -> {
               if (failure == null) {
-                page.records().forEach(this::onInstance);
+                page.records().forEach(r -> StoreFollower.each(r, this::onInstance));
               }
               boolean alone = members.live(Clock.micros()).isEmpty();
               long good = alone ? INSTANCES_MILLIS : INSTANCES_KNOWN_MILLIS;
@@ -288,15 +289,11 @@
       return;
     }
     String address = new String(record.value().get(), StandardCharsets.UTF_8);
-    int colon = address.lastIndexOf(':');
     long now = Clock.micros();
     boolean heard =
         members.live(now).stream().anyMatch(p -> p.digest().getInstance().equals(record.key()));
     if (!heard) {
-      members.contact(
-          new InetSocketAddress(
-              address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
-          now);
+      members.contact(SettingsDecoder.address(address), now);
     }
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/Members.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Members.java
@@ -22,6 +22,7 @@
 import org.kumquatplank.link.proto.EdgeDatagram;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.TopicRelay;
+import org.kumquatplank.platform.wire.SettingsDecoder;
 
 /**
  * The other instances, by the digests that they send.
@@ -140,10 +141,7 @@
     peers.put(digest.getInstance(), new Peer(digest, packet.sender(), now));
     contacts.remove(packet.sender());
     for (String address : digest.getKnownPeersList()) {
-      int colon = address.lastIndexOf(':');
-      InetSocketAddress other =
-          new InetSocketAddress(
-              address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+      InetSocketAddress other = SettingsDecoder.address(address);
       boolean isKnown = peers.values().stream().anyMatch(p -> p.address().equals(other));
       if (!isKnown && !other.equals(channel.localAddress())) {
         contact(other, now);
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -24,7 +24,6 @@
   /** So long that no test waits until the news of another instance are stale. */
   private static final long FRESH_MICROS = 3_600_000_000L;
 
-
   /** Keeps what a follower was given, as "key=value" in order. */
   private static final class Seen implements StoreFollower.Listener {
     private final List<String> changes = Collections.synchronizedList(new ArrayList<>());
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/Warmup.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/Warmup.java
@@ -21,6 +21,7 @@
   private static final String HOST = "127.0.0.1";
   private static final int ANSWER_MILLIS = 1_000;
   private static final long PAUSE_MILLIS = 20;
+  private static final int QUESTION_ROUNDS = 10;
 
   private Warmup() {}
 
@@ -44,6 +45,10 @@
       for (int i = 0; System.nanoTime() < end; i++) {
         send(port, "GET /read/x", "r" + i);
         send(port, "POST /tell/x", "s" + i);
+        if (i % QUESTION_ROUNDS == 0) {
+          send(port + 1, "GET /readiness", "q" + i);
+          send(port + 2, "GET /resolve?name=h&region=r&zone=a", "q" + i);
+        }
         store.put("servers", "e", engine.entry("pool", "ready"));
         Thread.sleep(PAUSE_MILLIS);
       }
