--- a/core/src/test/java/org/kumquatplank/core/dispatch/ModelChooserTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/ModelChooserTest.java
@@ -41,7 +41,7 @@
   /** A large prompt, worth most, needs half of its time even where nothing waits. */
   @Example
   void testLargePromptIsAskedAgainThoughThatTakesHalfOfItsTime() {
-    FirstEventEstimate idle = estimate(0, 750_000, 0);
+    FirstEventEstimate idle = estimate(0, 1_000_000, 0);
     assertThat(chooser.larger(demand, "small", 40, idle, 0)).contains("large");
     assertThat(chooser.larger(demand, "small", 50, idle, 0)).isEmpty();
   }
