--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -181,11 +181,13 @@
     boolean taken = repeatLimit(exchange).tryTake(instances, Clock.micros());
     if (!taken) {
       metrics.count("repeats_over_limit");
-      EdgeLog.event("repeat_over_limit")
-          .addKeyValue("id", exchange.demand().id())
-          .addKeyValue("service", exchange.demand().service())
-          .addKeyValue("instances", instances)
-          .log();
+      if (exchange.isFirstTimeOverLimit()) {
+        EdgeLog.event("repeat_over_limit")
+            .addKeyValue("id", exchange.demand().id())
+            .addKeyValue("service", exchange.demand().service())
+            .addKeyValue("instances", instances)
+            .log();
+      }
     }
     return taken;
   }
