--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -51,6 +51,7 @@
   private final Placement placement;
   private final ModelChooser models = ModelChooser.create(LEAST_CONFIDENCE);
   private final VersionCounts versions = new VersionCounts();
+  private final Throttle overLimit = Throttle.create((long) MICROS_PER_SECOND);
   private final Map<String, RepeatLimit> repeats = new HashMap<>();
   private final Map<String, WaitingLine<Exchange>> lines = new HashMap<>();
   private final Set<Exchange> open = new LinkedHashSet<>();
@@ -142,8 +143,6 @@
     return loads;
   }
 
-  // ---- placing
-
   /** Sets what is to be done when a request comes and none was open. */
   void onFirstExchange(Runnable work) {
     onFirstExchange = work;
@@ -178,20 +177,23 @@
 
   /** Takes one repeat out of the limit that all instances share. */
   boolean takeRepeat(Exchange exchange) {
-    boolean taken = repeatLimit(exchange).tryTake(instances, Clock.micros());
+    long now = Clock.micros();
+    boolean taken = repeatLimit(exchange).tryTake(instances, now);
     if (!taken) {
       metrics.count("repeats_over_limit");
-      if (exchange.isFirstTimeOverLimit()) {
-        EdgeLog.event("repeat_over_limit")
-            .addKeyValue("id", exchange.demand().id())
-            .addKeyValue("service", exchange.demand().service())
-            .addKeyValue("instances", instances)
-            .log();
-      }
+      overLimit.pass(now).ifPresent(omitted -> logOverLimit(exchange, omitted));
     }
     return taken;
   }
 
+  private void logOverLimit(Exchange exchange, int omitted) {
+    EdgeLog.event("repeat_over_limit")
+        .addKeyValue("id", exchange.demand().id())
+        .addKeyValue("instances", instances)
+        .addKeyValue("omitted", omitted)
+        .log();
+  }
+
   /** Sends a request to the best backend server, lets it wait, or refuses it. */
   void place(Exchange exchange) {
     long now = Clock.micros();
@@ -272,7 +274,7 @@
     }
   }
 
-  /** Called every few milliseconds. */
+  /** Called a few times a second while requests are open. */
   void tick(long now) {
     for (WaitingLine<Exchange> line : lines.values()) {
       line.removeLate(now).forEach(e -> e.giveUp("no room in time", false));
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -47,7 +47,6 @@
   private boolean waiting;
   private boolean streaming;
   private boolean done;
-  private boolean wasOverLimit;
   private Optional<KeptFailure> keptFailure = Optional.empty();
 
   Exchange(
@@ -93,13 +92,6 @@
     return times;
   }
 
-  /** Returns true once: a request that waits on asks for a repeat again and again. */
-  boolean isFirstTimeOverLimit() {
-    boolean first = !wasOverLimit;
-    wasOverLimit = true;
-    return first;
-  }
-
   boolean isDone() {
     return done;
   }
