Show by a test that an update may name a range without its changes (fails)

The update that goes on to the peers reads from=0, next=1, changed=[]: expected the key, got an empty list. A peer that hears this update first counts the range as applied and filters the change when it comes.

--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -21,6 +21,8 @@
 class StoreFollowerTest {
   private static final long TIMEOUT_MILLIS = 8_000;
 
+  private static final long LONG_POLL_MILLIS = 5_000;
+
   /** Longer than any test, so that the updates of a peer stay current. */
   private static final long FRESH_MICROS = 3_600_000_000L;
 
@@ -64,9 +66,13 @@
     private final StoreFollower follower;
 
     Fixture() throws IOException {
+      this(0);
+    }
+
+    Fixture(long waitMillis) throws IOException {
       store = FakeStore.open("127.0.0.1");
       client = StoreClient.create(loop, store.address());
-      StoreFollower.Topic topic = new StoreFollower.Topic("t", 0, 50);
+      StoreFollower.Topic topic = new StoreFollower.Topic("t", waitMillis, 50);
       ReaderElection election = ReaderElection.create("b", FRESH_MICROS);
       follower = new StoreFollower(loop, client, topic, election, listener);
       loop.execute(follower::start);
@@ -175,4 +181,21 @@
       assertThat(update.changed().get(0).key()).isEqualTo("k");
     }
   }
+
+  /** A peer that misses the other reader's update would take the range as applied without it. */
+  @Example
+  void testUpdateHoldsAChangeThatAPeerSentWhileTheReadWasUnderWay() throws IOException {
+    try (Fixture f = new Fixture(LONG_POLL_MILLIS)) {
+      // The snapshot, and the long poll from offset 0.
+      await(() -> f.client.requestCount() == 2);
+      f.receive("z", 0, 1, record(0, "k", "revoked"));
+      f.store.put("t", "k", "revoked");
+      await(() -> f.listener.confirmed.stream().anyMatch(u -> u.next() > 0));
+      StoreFollower.ConfirmedChanges update =
+          f.listener.confirmed.stream().filter(u -> u.next() > 0).findFirst().orElseThrow();
+      assertThat(update.from()).isZero();
+      assertThat(update.changed()).extracting(StoreRecord::key).containsExactly("k");
+      assertThat(f.listener.changes).containsExactly("k=revoked");
+    }
+  }
 }
