Log and measure how current the configuration of an instance is

New: the source on the catalog line; a line when an instance begins to read a topic itself or to follow a peer; a line while a peer has had a newer configuration for over a second, with the versions and offsets of both; gauges of the same. No decision changes.

--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -80,6 +80,7 @@
   private Map<String, VersionRule> versionRules = Map.of();
   private TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
+  private final StalenessMonitor staleness;
   private boolean draining;
 
   ControlPlane(EdgeSettings settings, long startedMillis, EventLoop loop, DataPlane dataPlane) {
@@ -88,6 +89,7 @@
     this.dataPlane = dataPlane;
     this.store = StoreClient.create(loop, settings.storeAddress());
     this.rollouts = new RolloutManager(store);
+    this.staleness = new StalenessMonitor(dataPlane.metrics());
     this.directory =
         new PeerDirectory(
             settings.instance(),
@@ -197,6 +199,7 @@
         EdgeLog.event("catalog")
             .addKeyValue("version", read.version())
             .addKeyValue("offset", record.offset())
+            .addKeyValue("source", operatorRecords.status().lastSource())
             .log();
       }
     } else if (CatalogDecoder.isRollout(record.key())) {
@@ -330,7 +333,8 @@
             .setRegion(settings.region())
             .setReady(trafficReport.ready() && !draining)
             .setLeaving(draining)
-            .setCatalogVersion(catalog.map(Catalog::version).orElse(-1L));
+            .setCatalogVersion(catalogVersion())
+            .setOperatorOffset(operatorRecords.status().nextOffset());
     for (PeerLoad load : trafficReport.loads()) {
       digest.addLoads(
           EdgeLoad.newBuilder()
@@ -343,8 +347,14 @@
     directory.send(digest, now);
   }
 
+  private long catalogVersion() {
+    return catalog.map(Catalog::version).orElse(-1L);
+  }
+
   private void onDigest(EdgeDigest digest) {
-    rollouts.onDigest(digest, Clock.micros());
+    long now = Clock.micros();
+    rollouts.onDigest(digest, now);
+    staleness.onDigest(digest, catalogVersion(), now);
     List<PeerLoad> loads = new ArrayList<>();
     for (EdgeLoad load : digest.getLoadsList()) {
       loads.add(
@@ -370,5 +380,7 @@
         live.stream().map(PeerDirectory.Peer::digest).filter(EdgeDigest::getReady).toList();
     dataPlane.setPeers(ready, 1 + live.size(), Map.copyOf(receivedLoads));
     receivedLoads.clear();
+    staleness.check(
+        catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -68,6 +68,10 @@
     this.admission = new AdmissionController(dispatcher, metrics);
   }
 
+  EdgeMetrics metrics() {
+    return metrics;
+  }
+
   void start(Consumer<TrafficReport> listener) {
     reportListener = listener;
     listen(
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
@@ -0,0 +1,81 @@
+package org.kumquatplank.edge;
+
+import org.kumquatplank.link.proto.EdgeDigest;
+
+/**
+ * Reports how current the configuration of this instance is, and when peers have a newer one.
+ *
+ * <p>Confined to the control thread.
+ */
+final class StalenessMonitor {
+  /** A newer configuration that a peer names is usually under way to this instance. */
+  private static final long REPORT_AFTER_MICROS = 1_000_000;
+
+  private static final long REPORT_INTERVAL_MICROS = 2_000_000;
+  private static final long NOT_BEHIND = Long.MAX_VALUE;
+
+  private final EdgeMetrics metrics;
+  private final LogThrottle throttle = LogThrottle.create(REPORT_INTERVAL_MICROS);
+  private EdgeDigest newest = EdgeDigest.newBuilder().setCatalogVersion(-1).build();
+  private long behindSince = NOT_BEHIND;
+
+  StalenessMonitor(EdgeMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  /** Records the version that a peer names. */
+  void onDigest(EdgeDigest digest, long ownVersion, long now) {
+    if (digest.getCatalogVersion() > newest.getCatalogVersion()) {
+      newest = digest;
+    }
+    if (newest.getCatalogVersion() > ownVersion && behindSince == NOT_BEHIND) {
+      behindSince = now;
+    }
+  }
+
+  /**
+   * Updates the metrics, and reports a configuration that has been older than a peer's for a while.
+   *
+   * @param livePeers number of peers whose digests arrive
+   */
+  void check(
+      long ownVersion,
+      StoreFollower.Status operator,
+      StoreFollower.Status servers,
+      int livePeers,
+      long now) {
+    metrics.gauge("catalog_version", ownVersion);
+    metrics.gauge("peers_catalog_version", newest.getCatalogVersion());
+    metrics.gauge("live_peers", livePeers);
+    setTopicGauges("op", operator, now);
+    setTopicGauges("servers", servers, now);
+    if (newest.getCatalogVersion() <= ownVersion) {
+      behindSince = NOT_BEHIND;
+    } else if (now - behindSince > REPORT_AFTER_MICROS) {
+      throttle.pass(now).ifPresent(omitted -> report(ownVersion, operator, livePeers, now));
+    }
+  }
+
+  private void setTopicGauges(String topic, StoreFollower.Status status, long now) {
+    String label = "{topic=\"" + topic + "\"}";
+    metrics.gauge("topic_offset" + label, status.nextOffset());
+    metrics.gauge("topic_age_ms" + label, (now - status.confirmedAt()) / 1_000);
+    metrics.gauge("topic_following" + label, status.following() ? 1 : 0);
+  }
+
+  /** An own offset not below the peer's tells a lost change from one that is still to come. */
+  private void report(long ownVersion, StoreFollower.Status operator, int livePeers, long now) {
+    EdgeLog.event("behind")
+        .addKeyValue("version", ownVersion)
+        .addKeyValue("offset", operator.nextOffset())
+        .addKeyValue("age_ms", (now - operator.confirmedAt()) / 1_000)
+        .addKeyValue("following", operator.following())
+        .addKeyValue("source", operator.lastSource())
+        .addKeyValue("peer", newest.getInstance())
+        .addKeyValue("peer_version", newest.getCatalogVersion())
+        .addKeyValue("peer_offset", newest.getOperatorOffset())
+        .addKeyValue("for_ms", (now - behindSince) / 1_000)
+        .addKeyValue("live_peers", livePeers)
+        .log();
+  }
+}
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -26,6 +26,9 @@
   /** How often an instance that is not the elected reader checks whether it has become so. */
   private static final long ELECTION_CHECK_MILLIS = 400;
 
+  /** Source of records that this instance has read itself. */
+  private static final String STORE_SOURCE = "store";
+
   private final EventLoop loop;
   private final StoreClient store;
   private final Topic topic;
@@ -37,6 +40,8 @@
   private boolean failing;
   private boolean readingSnapshot;
   private boolean gapDetected;
+  private boolean following;
+  private String lastSource = STORE_SOURCE;
 
   StoreFollower(
       EventLoop loop, StoreClient store, Topic topic, ReaderElection election, Listener listener) {
@@ -65,6 +70,16 @@
    */
   record ConfirmedChanges(long from, long next, List<StoreRecord> changed) {}
 
+  /**
+   * How current this instance is in the topic.
+   *
+   * @param nextOffset offset up to which all changes have been applied, or -1 before the snapshot
+   * @param confirmedAt when the store last confirmed that there was nothing newer, microseconds
+   * @param lastSource who delivered the last records: "store", or the name of a peer
+   * @param following whether a peer reads the topic for this instance
+   */
+  record Status(long nextOffset, long confirmedAt, String lastSource, boolean following) {}
+
   /** Receives the records of the topic. */
   interface Listener {
     /** Handles a snapshot with the newest record of each key. */
@@ -84,6 +99,10 @@
     readSnapshot();
   }
 
+  Status status() {
+    return new Status(nextOffset, lastConfirmedAt, lastSource, following);
+  }
+
   private void readSnapshot() {
     readingSnapshot = true;
     store
@@ -96,6 +115,7 @@
               }
               onReadSucceeded();
               readingSnapshot = false;
+              lastSource = STORE_SOURCE;
               nextOffset = page.nextOffset();
               runLoggingFailures(() -> listener.onSnapshot(page.records()));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
@@ -103,13 +123,28 @@
   }
 
   private void readIfElected() {
-    if (gapDetected || election.isReader(Clock.micros())) {
+    boolean reader = election.isReader(Clock.micros());
+    if (reader && following) {
+      setFollowing(false, STORE_SOURCE);
+    }
+    if (gapDetected || reader) {
       read();
     } else {
       loop.schedule(this::readIfElected, ELECTION_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
+  private void setFollowing(boolean nowFollowing, String source) {
+    long now = Clock.micros();
+    following = nowFollowing;
+    EdgeLog.event("topic_source")
+        .addKeyValue("topic", topic.name())
+        .addKeyValue("source", source)
+        .addKeyValue("offset", nextOffset)
+        .addKeyValue("age_ms", (now - lastConfirmedAt) / 1_000)
+        .log();
+  }
+
   private void read() {
     long from = nextOffset;
     store
@@ -125,13 +160,15 @@
               runLoggingFailures(
                   () ->
                       listener.onConfirmed(
-                          new ConfirmedChanges(from, page.nextOffset(), apply(page))));
+                          new ConfirmedChanges(
+                              from, page.nextOffset(), apply(page, STORE_SOURCE))));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
   }
 
   /** Applies the records that are new, and returns those that changed the state. */
-  private List<StoreRecord> apply(StoreClient.Page page) {
+  private List<StoreRecord> apply(StoreClient.Page page, String source) {
+    lastSource = source;
     List<StoreRecord> newRecords =
         page.records().stream().filter(r -> r.offset() >= nextOffset).toList();
     nextOffset = Math.max(nextOffset, page.nextOffset());
@@ -151,8 +188,11 @@
       gapDetected = true;
       return;
     }
-    runLoggingFailures(() -> apply(new StoreClient.Page(update.changed(), update.next())));
+    runLoggingFailures(() -> apply(new StoreClient.Page(update.changed(), update.next()), sender));
     election.recordConfirmation(sender, confirmedAt);
+    if (!following && !election.isReader(Clock.micros())) {
+      setFollowing(true, sender);
+    }
     if (failing) {
       onStoreRecovered(sender);
     }
