Take an instance's position in a topic out of the store follower, as pure logic

TopicCursor holds the next offset, the listing and the gap; TopicUpdate replaces the two equal records for a range of changes. Behaviour is as before, so that the relay between instances can be checked by a model without input and output.

--- a/core/src/main/java/org/kumquatplank/core/relay/ChangeBuffer.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/ChangeBuffer.java
@@ -39,33 +39,16 @@
 
   private record Batch<T>(long from, long next, long addedAt, List<T> changes) {}
 
-  /**
-   * The changes of a contiguous range of offsets.
-   *
-   * @param firstOffset first offset of the range
-   * @param endOffset first offset after the range
-   * @param changes the newest change of each key, oldest first
-   */
-  public record Span<T>(long firstOffset, long endOffset, List<T> changes) {
-    /** Copies the changes. */
-    public Span {
-      changes = List.copyOf(changes);
-    }
-  }
-
   /**
    * Adds the changes of a read of the topic and drops batches whose retention has passed.
    *
    * <p>If there is a gap between this read and the previous one, all earlier batches are dropped.
-   *
-   * @param from first offset of the read
-   * @param next first offset after the read
    */
-  public void add(long from, long next, List<T> changes, long now) {
-    if (!batches.isEmpty() && batches.peekLast().next() != from) {
+  public void add(TopicUpdate<T> read, long now) {
+    if (!batches.isEmpty() && batches.peekLast().next() != read.from()) {
       batches.clear();
     }
-    batches.addLast(new Batch<>(from, next, now, List.copyOf(changes)));
+    batches.addLast(new Batch<>(read.from(), read.next(), now, read.changes()));
     while (batches.size() > 1 && now - batches.peekFirst().addedAt() > retentionMicros) {
       batches.pollFirst();
     }
@@ -83,8 +66,11 @@
     }
   }
 
-  /** Returns the retained changes, or nothing before the first read was added. */
-  public Optional<Span<T>> bufferedSpan() {
+  /**
+   * Returns the retained changes, the newest of each key, or nothing before the first read was
+   * added.
+   */
+  public Optional<TopicUpdate<T>> bufferedSpan() {
     if (batches.isEmpty()) {
       return Optional.empty();
     }
@@ -96,6 +82,7 @@
       }
     }
     List<T> changes = List.copyOf(newest.values());
-    return Optional.of(new Span<>(batches.peekFirst().from(), batches.peekLast().next(), changes));
+    return Optional.of(
+        new TopicUpdate<>(batches.peekFirst().from(), batches.peekLast().next(), changes));
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
@@ -0,0 +1,96 @@
+package org.kumquatplank.core.relay;
+
+import java.util.List;
+import java.util.function.ToLongFunction;
+import java.util.function.UnaryOperator;
+
+/**
+ * The position of an instance in a topic, whose changes it reads or receives from peers.
+ *
+ * <p>All changes below the next offset have been applied. Not thread-safe.
+ *
+ * @param <T> change
+ */
+public final class TopicCursor<T> {
+  private static final long UNKNOWN = -1;
+
+  private final ToLongFunction<T> offsetOf;
+  private long nextOffset = UNKNOWN;
+  private boolean listing;
+  private boolean gap;
+
+  private TopicCursor(ToLongFunction<T> offsetOf) {
+    this.offsetOf = offsetOf;
+  }
+
+  /**
+   * Returns a cursor whose position is unknown until the first listing.
+   *
+   * @param offsetOf returns the offset of a change
+   */
+  public static <T> TopicCursor<T> create(ToLongFunction<T> offsetOf) {
+    return new TopicCursor<>(offsetOf);
+  }
+
+  /** Returns the offset below which all changes have been applied, or -1 if it is unknown. */
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  /** Returns whether a peer has sent later changes than the next ones, so that some are missing. */
+  public boolean hasGap() {
+    return gap;
+  }
+
+  /** Records that a listing of the newest records has begun. */
+  public void beginListing() {
+    listing = true;
+  }
+
+  /**
+   * Records that a listing is complete and its records have been applied.
+   *
+   * @param next end of the log when the listing began
+   */
+  public void onListed(long next) {
+    listing = false;
+    nextOffset = next;
+  }
+
+  /**
+   * Applies a read of the topic.
+   *
+   * @param read the records that were read
+   * @param applier applies changes in order, and returns those that changed the state
+   * @return the update for peers
+   */
+  public TopicUpdate<T> onRead(TopicUpdate<T> read, UnaryOperator<List<T>> applier) {
+    return new TopicUpdate<>(read.from(), read.next(), apply(read, applier));
+  }
+
+  /**
+   * Applies an update of a peer, unless it begins after the next offset.
+   *
+   * @param applier applies changes in order, and returns those that changed the state
+   * @return whether the update was applied
+   */
+  public boolean onUpdate(TopicUpdate<T> update, UnaryOperator<List<T>> applier) {
+    if (listing || nextOffset == UNKNOWN) {
+      return false;
+    }
+    if (update.from() > nextOffset) {
+      gap = true;
+      return false;
+    }
+    apply(update, applier);
+    return true;
+  }
+
+  private List<T> apply(TopicUpdate<T> update, UnaryOperator<List<T>> applier) {
+    List<T> unapplied =
+        update.changes().stream().filter(c -> offsetOf.applyAsLong(c) >= nextOffset).toList();
+    nextOffset = Math.max(nextOffset, update.next());
+    gap = false;
+    return unapplied.isEmpty() ? List.of() : applier.apply(unapplied);
+  }
+}
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -15,6 +15,7 @@
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.relay.ReaderElection;
+import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.EdgeLoad;
 import org.kumquatplank.link.proto.TopicRelay;
@@ -174,13 +175,12 @@
     public void onRecovered(long outageMicros) {}
 
     @Override
-    public void onConfirmed(StoreFollower.ConfirmedChanges update) {
+    public void onConfirmed(TopicUpdate<StoreRecord> update) {
       sendUpdate(updates, update, Long.MIN_VALUE);
     }
   }
 
-  private void sendUpdate(
-      TopicUpdates updates, StoreFollower.ConfirmedChanges update, long graceUntil) {
+  private void sendUpdate(TopicUpdates updates, TopicUpdate<StoreRecord> update, long graceUntil) {
     long now = Clock.micros();
     directory.send(
         updates.messageAfterRead(update, graceUntil, directory.maxRelayBytes(now), now), now);
@@ -230,7 +230,7 @@
     }
 
     @Override
-    public void onConfirmed(StoreFollower.ConfirmedChanges update) {
+    public void onConfirmed(TopicUpdate<StoreRecord> update) {
       sendUpdate(updates, update, servers.graceUntil());
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -6,8 +6,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.kumquatplank.core.relay.ReaderElection;
+import org.kumquatplank.core.relay.TopicCursor;
+import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.platform.store.StoreClient;
 import org.kumquatplank.platform.store.StoreException;
 import org.kumquatplank.platform.store.StoreRecord;
@@ -34,12 +37,10 @@
   private final Topic topic;
   private final ReaderElection election;
   private final Listener listener;
-  private long nextOffset = -1;
+  private final TopicCursor<StoreRecord> cursor = TopicCursor.create(StoreRecord::offset);
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
   private long lastConfirmedAt = Clock.micros();
   private boolean failing;
-  private boolean readingSnapshot;
-  private boolean gapDetected;
   private boolean following;
   private String lastSource = STORE_SOURCE;
 
@@ -61,15 +62,6 @@
    */
   record Topic(String name, long waitMillis, long pauseMillis) {}
 
-  /**
-   * The result of a read, as sent to peers.
-   *
-   * @param from offset at which the read began
-   * @param next offset at which the next read begins
-   * @param changed records that changed the state of the listener
-   */
-  record ConfirmedChanges(long from, long next, List<StoreRecord> changed) {}
-
   /**
    * How current this instance is in the topic.
    *
@@ -92,7 +84,7 @@
     void onRecovered(long outageMicros);
 
     /** Called after each successful read, whose result can be sent to peers. */
-    void onConfirmed(ConfirmedChanges update);
+    void onConfirmed(TopicUpdate<StoreRecord> update);
   }
 
   void start() {
@@ -100,11 +92,11 @@
   }
 
   Status status() {
-    return new Status(nextOffset, lastConfirmedAt, lastSource, following);
+    return new Status(cursor.nextOffset(), lastConfirmedAt, lastSource, following);
   }
 
   private void readSnapshot() {
-    readingSnapshot = true;
+    cursor.beginListing();
     store
         .readNewest(topic.name())
         .whenComplete(
@@ -114,9 +106,8 @@
                 return;
               }
               onReadSucceeded();
-              readingSnapshot = false;
               lastSource = STORE_SOURCE;
-              nextOffset = page.nextOffset();
+              cursor.onListed(page.nextOffset());
               runLoggingFailures(() -> listener.onSnapshot(page.records()));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
@@ -127,7 +118,7 @@
     if (reader && following) {
       setFollowing(false, STORE_SOURCE);
     }
-    if (gapDetected || reader) {
+    if (cursor.hasGap() || reader) {
       read();
     } else {
       loop.schedule(this::readIfElected, ELECTION_CHECK_MILLIS, TimeUnit.MILLISECONDS);
@@ -140,13 +131,13 @@
     EdgeLog.event("topic_source")
         .addKeyValue("topic", topic.name())
         .addKeyValue("source", source)
-        .addKeyValue("offset", nextOffset)
+        .addKeyValue("offset", cursor.nextOffset())
         .addKeyValue("age_ms", (now - lastConfirmedAt) / 1_000)
         .log();
   }
 
   private void read() {
-    long from = nextOffset;
+    long from = cursor.nextOffset();
     store
         .read(topic.name(), from, topic.waitMillis())
         .whenComplete(
@@ -157,38 +148,29 @@
                 return;
               }
               onReadSucceeded();
+              TopicUpdate<StoreRecord> read =
+                  new TopicUpdate<>(from, page.nextOffset(), page.records());
               runLoggingFailures(
-                  () ->
-                      listener.onConfirmed(
-                          new ConfirmedChanges(
-                              from, page.nextOffset(), apply(page, STORE_SOURCE))));
+                  () -> listener.onConfirmed(cursor.onRead(read, r -> apply(r, STORE_SOURCE))));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
   }
 
-  /** Applies the records that are new, and returns those that changed the state. */
-  private List<StoreRecord> apply(StoreClient.Page page, String source) {
+  private List<StoreRecord> apply(List<StoreRecord> records, String source) {
     lastSource = source;
-    List<StoreRecord> newRecords =
-        page.records().stream().filter(r -> r.offset() >= nextOffset).toList();
-    nextOffset = Math.max(nextOffset, page.nextOffset());
-    gapDetected = false;
-    return newRecords.isEmpty() ? List.of() : listener.onChanges(newRecords);
+    return listener.onChanges(records);
   }
 
   /**
    * Applies an update of a peer. If it begins after the next expected offset, the gap is read from
    * the store instead.
    */
-  void onUpdate(String sender, ConfirmedChanges update, long confirmedAt) {
-    if (readingSnapshot || nextOffset < 0) {
-      return;
-    }
-    if (update.from() > nextOffset) {
-      gapDetected = true;
+  void onUpdate(String sender, TopicUpdate<StoreRecord> update, long confirmedAt) {
+    AtomicBoolean applied = new AtomicBoolean();
+    runLoggingFailures(() -> applied.set(cursor.onUpdate(update, r -> apply(r, sender))));
+    if (!applied.get()) {
       return;
     }
-    runLoggingFailures(() -> apply(new StoreClient.Page(update.changed(), update.next()), sender));
     election.recordConfirmation(sender, confirmedAt);
     if (!following && !election.isReader(Clock.micros())) {
       setFollowing(true, sender);
--- a/edge/src/main/java/org/kumquatplank/edge/TopicUpdates.java
+++ b/edge/src/main/java/org/kumquatplank/edge/TopicUpdates.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.kumquatplank.core.relay.ChangeBuffer;
+import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.RelayedRecord;
 import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreRecord;
@@ -37,8 +38,8 @@
    * @param maxBytes size limit; the oldest changes are left out, and peers read them from the store
    */
   TopicRelay messageAfterRead(
-      StoreFollower.ConfirmedChanges update, long graceUntil, int maxBytes, long now) {
-    buffer.add(update.from(), update.next(), update.changed(), now);
+      TopicUpdate<StoreRecord> update, long graceUntil, int maxBytes, long now) {
+    buffer.add(update, now);
     TopicRelay message = message(graceUntil, now);
     while (message.getSerializedSize() > maxBytes && message.getRecordsCount() > 0) {
       buffer.dropOldest();
@@ -48,13 +49,13 @@
   }
 
   private TopicRelay message(long graceUntil, long now) {
-    ChangeBuffer.Span<StoreRecord> span = buffer.bufferedSpan().orElseThrow();
+    TopicUpdate<StoreRecord> span = buffer.bufferedSpan().orElseThrow();
     TopicRelay.Builder message =
         TopicRelay.newBuilder()
             .setSender(self)
             .setTopic(topic)
-            .setFrom(span.firstOffset())
-            .setNext(span.endOffset())
+            .setFrom(span.from())
+            .setNext(span.next())
             .setGraceMillis(graceUntil <= now ? 0 : (graceUntil - now) / MICROS_PER_MILLI);
     for (StoreRecord record : span.changes()) {
       message.addRecords(
@@ -76,8 +77,8 @@
         message.getRecordsList().stream()
             .map(r -> new StoreRecord(r.getOffset(), r.getKey(), value(r)))
             .toList();
-    StoreFollower.ConfirmedChanges update =
-        new StoreFollower.ConfirmedChanges(message.getFrom(), message.getNext(), records);
+    TopicUpdate<StoreRecord> update =
+        new TopicUpdate<>(message.getFrom(), message.getNext(), records);
     follower.onUpdate(message.getSender(), update, now);
   }
 
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -14,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.relay.ReaderElection;
+import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.platform.store.StoreClient;
 import org.kumquatplank.platform.store.StoreRecord;
 import org.kumquatplank.testkit.fleet.FakeStore;
@@ -29,7 +30,7 @@
   /** Records the changes that a follower delivers, as "key=value" in order. */
   private static final class RecordingListener implements StoreFollower.Listener {
     private final List<String> changes = Collections.synchronizedList(new ArrayList<>());
-    private final List<StoreFollower.ConfirmedChanges> confirmed =
+    private final List<TopicUpdate<StoreRecord>> confirmed =
         Collections.synchronizedList(new ArrayList<>());
     private volatile boolean snapshotReceived;
 
@@ -51,7 +52,7 @@
     public void onRecovered(long outageMicros) {}
 
     @Override
-    public void onConfirmed(StoreFollower.ConfirmedChanges update) {
+    public void onConfirmed(TopicUpdate<StoreRecord> update) {
       confirmed.add(update);
     }
   }
@@ -80,8 +81,7 @@
     }
 
     void receive(String sender, long from, long next, StoreRecord... records) {
-      StoreFollower.ConfirmedChanges update =
-          new StoreFollower.ConfirmedChanges(from, next, List.of(records));
+      TopicUpdate<StoreRecord> update = new TopicUpdate<>(from, next, List.of(records));
       loop.submit(() -> follower.onUpdate(sender, update, Clock.micros())).syncUninterruptibly();
     }
 
@@ -170,15 +170,15 @@
   void testReaderPublishesTheChangesThatItRead() throws IOException {
     try (Fixture f = new Fixture()) {
       f.store.put("t", "k", "1");
-      await(() -> f.listener.confirmed.stream().anyMatch(t -> !t.changed().isEmpty()));
-      StoreFollower.ConfirmedChanges update =
+      await(() -> f.listener.confirmed.stream().anyMatch(t -> !t.changes().isEmpty()));
+      TopicUpdate<StoreRecord> update =
           f.listener.confirmed.stream()
-              .filter(t -> !t.changed().isEmpty())
+              .filter(t -> !t.changes().isEmpty())
               .findFirst()
               .orElseThrow();
       assertThat(update.from()).isZero();
       assertThat(update.next()).isEqualTo(1);
-      assertThat(update.changed().get(0).key()).isEqualTo("k");
+      assertThat(update.changes().get(0).key()).isEqualTo("k");
     }
   }
 
@@ -191,10 +191,10 @@
       f.receive("z", 0, 1, record(0, "k", "revoked"));
       f.store.put("t", "k", "revoked");
       await(() -> f.listener.confirmed.stream().anyMatch(u -> u.next() > 0));
-      StoreFollower.ConfirmedChanges update =
+      TopicUpdate<StoreRecord> update =
           f.listener.confirmed.stream().filter(u -> u.next() > 0).findFirst().orElseThrow();
       assertThat(update.from()).isZero();
-      assertThat(update.changed()).extracting(StoreRecord::key).containsExactly("k");
+      assertThat(update.changes()).extracting(StoreRecord::key).containsExactly("k");
       assertThat(f.listener.changes).containsExactly("k=revoked");
     }
   }
--- a/edge/src/test/java/org/kumquatplank/edge/TopicUpdatesTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/TopicUpdatesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Example;
+import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreRecord;
 
@@ -23,9 +24,7 @@
     TopicRelay message = null;
     for (int i = 0; i < 6; i++) {
       List<StoreRecord> changed = List.of(record(5 + i, largeValue + i));
-      message =
-          updates.messageAfterRead(
-              new StoreFollower.ConfirmedChanges(5 + i, 6 + i, changed), 0, MAX_BYTES, i);
+      message = updates.messageAfterRead(new TopicUpdate<>(5 + i, 6 + i, changed), 0, MAX_BYTES, i);
     }
     assertThat(message.getFrom()).isEqualTo(5);
     assertThat(message.getNext()).isEqualTo(11);
@@ -39,7 +38,7 @@
   @Example
   void testMessageStatesTheRemainingGracePeriod() {
     TopicUpdates updates = new TopicUpdates("a", "servers");
-    StoreFollower.ConfirmedChanges update = new StoreFollower.ConfirmedChanges(0, 1, List.of());
+    TopicUpdate<StoreRecord> update = new TopicUpdate<>(0, 1, List.of());
     assertThat(updates.messageAfterRead(update, 3_000_000, MAX_BYTES, 1_000_000).getGraceMillis())
         .isEqualTo(2_000);
     assertThat(
