Send peers every change of the range that an update names

What callers saw: an instance went on serving a revoked key, and rejected keys and routes that were added, although it was in touch and its peers had the new configuration.

Cause: while a read of the operator's topic is under way, an update of another reader may bring the same changes. They are then filtered out of the read as known, and the update that goes on to the peers named the read's whole range without them. A peer that hears it before it hears the other reader counts the range as applied and filters the change later: it is lost to that peer until the next change of the key.

Why this works: what a peer sent meanwhile is not applied again but is part of the update, so an update that names a range holds every change of it.

The class: a position moves past a change whose content was not passed on.

--- a/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
@@ -1,5 +1,6 @@
 package org.kumquatplank.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.ToLongFunction;
 import java.util.function.UnaryOperator;
@@ -60,18 +61,28 @@
   /**
    * Applies a read of the topic.
    *
+   * <p>Changes that a peer sent while the read was under way are not applied again, but are part of
+   * the update: its receivers may not have heard of that peer.
+   *
    * @param read the records that were read
-   * @param applier applies changes in order, and returns those that changed the state
-   * @return the update for peers
+   * @param applier applies changes in order, and returns all but those that repeat the value of
+   *     their key
+   * @return the update for peers, which holds every change of its range
    */
   public TopicUpdate<T> onRead(TopicUpdate<T> read, UnaryOperator<List<T>> applier) {
-    return new TopicUpdate<>(read.from(), read.next(), apply(read, applier));
+    List<T> changes = new ArrayList<>(below(nextOffset, read.changes()));
+    changes.addAll(apply(read, applier));
+    return new TopicUpdate<>(read.from(), read.next(), changes);
+  }
+
+  private List<T> below(long offset, List<T> changes) {
+    return changes.stream().filter(c -> offsetOf.applyAsLong(c) < offset).toList();
   }
 
   /**
    * Applies an update of a peer, unless it begins after the next offset.
    *
-   * @param applier applies changes in order, and returns those that changed the state
+   * @param applier applies changes in order
    * @return whether the update was applied
    */
   public boolean onUpdate(TopicUpdate<T> update, UnaryOperator<List<T>> applier) {
--- /dev/null
+++ b/core/src/test/java/org/kumquatplank/core/relay/RelayModelTest.java
@@ -0,0 +1,209 @@
+package org.kumquatplank.core.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/**
+ * Plays random schedules of a topic that several instances read and pass on to each other.
+ *
+ * <p>Reads fail, listings are slow, and datagrams are lost, repeated and delayed in any order.
+ */
+class RelayModelTest {
+  private static final int INSTANCES = 4;
+  private static final int KEYS = 2;
+  private static final int VALUES = 2;
+
+  /** In steps of the schedule, so that old changes are dropped from the buffers. */
+  private static final long RETENTION = 12;
+
+  /** A change of the topic; an empty value deletes the key. */
+  private record Change(long offset, String key, String value) {}
+
+  /** An update on its way to an instance. */
+  private record Datagram(int receiver, TopicUpdate<Change> update) {}
+
+  /** An instance with the values that it has applied. */
+  private static final class Instance {
+    private final TopicCursor<Change> cursor = TopicCursor.create(Change::offset);
+    private final ChangeBuffer<Change> buffer = ChangeBuffer.create(RETENTION, Change::key);
+    private final Map<String, String> values = new HashMap<>();
+    private Optional<TopicUpdate<Change>> read = Optional.empty();
+    private Optional<Listing> listing = Optional.empty();
+    private long listedUntil;
+
+    /** Applies changes; repeated values of a key are not passed on. */
+    private List<Change> apply(List<Change> changes) {
+      List<Change> changed = new ArrayList<>();
+      for (Change change : changes) {
+        if (!change.value().equals(values.put(change.key(), change.value()))) {
+          changed.add(change);
+        }
+      }
+      return changed;
+    }
+  }
+
+  /**
+   * A listing of the newest records, whose page is read after the listing began.
+   *
+   * @param end end of the log when the listing began
+   * @param pageEnd end of the log when the page was read
+   */
+  private record Listing(long end, long pageEnd, Optional<List<Change>> page) {}
+
+  /** The log, the instances and the network. */
+  private static final class World {
+    private final List<Change> log = new ArrayList<>();
+    private final List<Instance> instances = new ArrayList<>();
+    private final List<Datagram> network = new ArrayList<>();
+    private long now;
+
+    World() {
+      for (int i = 0; i < INSTANCES; i++) {
+        instances.add(new Instance());
+      }
+    }
+
+    void step(int choice) {
+      now++;
+      int argument = choice / 8;
+      Instance instance = instances.get(argument % INSTANCES);
+      switch (choice % 8) {
+        case 0, 1 -> append(argument);
+        case 2 -> beginRead(instance);
+        case 3 -> endRead(instance);
+        case 4 -> beginOrReadListing(instance);
+        case 5 -> endListing(instance);
+        case 6 -> deliver(argument, true);
+        default -> deliver(argument, false);
+      }
+    }
+
+    private void append(int argument) {
+      String value = argument / KEYS % (VALUES + 1) == 0 ? "" : "v" + argument / KEYS % VALUES;
+      log.add(new Change(log.size(), "k" + argument % KEYS, value));
+    }
+
+    private void beginRead(Instance instance) {
+      long from = instance.cursor.nextOffset();
+      if (from >= 0 && instance.read.isEmpty() && instance.listing.isEmpty()) {
+        instance.read = Optional.of(new TopicUpdate<>(from, from, List.of()));
+      }
+    }
+
+    /** The store answers and the answer arrives; a peer's update may have come before it. */
+    private void endRead(Instance instance) {
+      if (instance.read.isEmpty()) {
+        return;
+      }
+      long from = instance.read.get().from();
+      TopicUpdate<Change> read =
+          new TopicUpdate<>(from, log.size(), log.subList((int) from, log.size()));
+      instance.read = Optional.empty();
+      TopicUpdate<Change> update = instance.cursor.onRead(read, instance::apply);
+      instance.buffer.add(update, now);
+      for (int i = 0; i < INSTANCES; i++) {
+        if (instances.get(i) != instance) {
+          network.add(new Datagram(i, instance.buffer.bufferedSpan().orElseThrow()));
+        }
+      }
+    }
+
+    private void beginOrReadListing(Instance instance) {
+      if (instance.read.isPresent()) {
+        return;
+      }
+      if (instance.listing.isEmpty()) {
+        instance.cursor.beginListing();
+        instance.listing =
+            Optional.of(new Listing(log.size(), log.size(), Optional.of(newestOfEachKey())));
+      } else if (instance.listing.get().page().isEmpty()) {
+        instance.listing =
+            Optional.of(
+                new Listing(
+                    instance.listing.get().end(), log.size(), Optional.of(newestOfEachKey())));
+      }
+    }
+
+    private List<Change> newestOfEachKey() {
+      Map<String, Change> newest = new HashMap<>();
+      log.forEach(c -> newest.put(c.key(), c));
+      newest.values().removeIf(c -> c.value().isEmpty());
+      return List.copyOf(newest.values());
+    }
+
+    private void endListing(Instance instance) {
+      if (instance.listing.isEmpty() || instance.listing.get().page().isEmpty()) {
+        return;
+      }
+      Listing listing = instance.listing.get();
+      instance.listing = Optional.empty();
+      instance.cursor.onListed(listing.end());
+      instance.values.clear();
+      instance.apply(listing.page().get());
+      instance.listedUntil = listing.pageEnd();
+    }
+
+    private void deliver(int argument, boolean keep) {
+      if (network.isEmpty()) {
+        return;
+      }
+      int index = argument % network.size();
+      Datagram datagram = keep ? network.get(index) : network.remove(index);
+      Instance receiver = instances.get(datagram.receiver());
+      receiver.cursor.onUpdate(datagram.update(), receiver::apply);
+    }
+
+    /** The value of a key below an offset. */
+    private String valueBelow(String key, long offset) {
+      return log.stream()
+          .filter(c -> c.offset() < offset && c.key().equals(key))
+          .reduce((first, second) -> second)
+          .map(Change::value)
+          .orElse("");
+    }
+
+    /** A listing may hold newer values than those at the offset from which reading goes on. */
+    void check() {
+      for (Instance instance : instances) {
+        long next = instance.cursor.nextOffset();
+        for (int k = 0; next >= 0 && k < KEYS; k++) {
+          String key = "k" + k;
+          List<String> allowed = new ArrayList<>();
+          for (long end = next; end <= Math.max(next, log.size()); end++) {
+            if (end == next || end <= instance.listedUntil) {
+              allowed.add(valueBelow(key, end));
+            }
+          }
+          assertThat(allowed)
+              .as("%s at offset %d of instance %d", key, next, instances.indexOf(instance))
+              .contains(instance.values.getOrDefault(key, ""));
+        }
+      }
+    }
+  }
+
+  @Property(tries = 4_000, seed = "18")
+  void testEveryChangeBelowTheOffsetOfAnInstanceIsApplied(
+      @ForAll @Size(max = 120) List<@IntRange(min = 0, max = 100_000) Integer> schedule) {
+    World world = new World();
+    world.instances.forEach(
+        i -> {
+          i.cursor.beginListing();
+          i.cursor.onListed(0);
+        });
+    for (int choice : schedule) {
+      world.step(choice);
+      world.check();
+    }
+  }
+}
