Send peers changes that the listing already held

What callers could see: work sent to a backend server that drains or is gone, since an instance never heard of it.

Cause: the listing of a topic is read in pages and may hold newer records than the offset from which reading goes on. Read again from there, such a change is equal to what the instance has, and was left out of the update for its peers as a mere renewal, although the update names its range. A deletion of an entry that the listing lacked was left out as well.

--- a/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
@@ -18,6 +18,7 @@
   private final ToLongFunction<T> offsetOf;
   private long nextOffset = UNKNOWN;
   private boolean listing;
+  private long listedUntil = UNKNOWN;
   private boolean gap;
 
   private TopicCursor(ToLongFunction<T> offsetOf) {
@@ -49,34 +50,39 @@
   }
 
   /**
-   * Records that a listing is complete and its records have been applied.
+   * Records that a listing is complete.
    *
-   * @param next end of the log when the listing began
+   * @param listed the newest record of each key, and the end of the log when the listing began
    */
-  public void onListed(long next) {
+  public void onListed(TopicUpdate<T> listed) {
     listing = false;
-    nextOffset = next;
+    nextOffset = listed.next();
+    listedUntil =
+        listed.changes().stream().mapToLong(offsetOf).map(o -> o + 1).max().orElse(UNKNOWN);
   }
 
   /**
    * Applies a read of the topic.
    *
    * <p>Changes that a peer sent while the read was under way are not applied again, but are part of
-   * the update: its receivers may not have heard of that peer.
+   * the update: its receivers may not have heard of that peer. The same holds for changes that the
+   * listing already had.
    *
    * @param read the records that were read
    * @param applier applies changes in order, and returns all but those that repeat the value of
-   *     their key
+   *     their key; deletions are always returned
    * @return the update for peers, which holds every change of its range
    */
   public TopicUpdate<T> onRead(TopicUpdate<T> read, UnaryOperator<List<T>> applier) {
-    List<T> changes = new ArrayList<>(below(nextOffset, read.changes()));
-    changes.addAll(apply(read, applier));
+    long wholeUntil = Math.max(nextOffset, listedUntil);
+    List<T> changes = new ArrayList<>();
+    read.changes().stream().filter(c -> offset(c) < wholeUntil).forEach(changes::add);
+    apply(read, applier).stream().filter(c -> offset(c) >= wholeUntil).forEach(changes::add);
     return new TopicUpdate<>(read.from(), read.next(), changes);
   }
 
-  private List<T> below(long offset, List<T> changes) {
-    return changes.stream().filter(c -> offsetOf.applyAsLong(c) < offset).toList();
+  private long offset(T change) {
+    return offsetOf.applyAsLong(change);
   }
 
   /**
@@ -98,8 +104,7 @@
   }
 
   private List<T> apply(TopicUpdate<T> update, UnaryOperator<List<T>> applier) {
-    List<T> unapplied =
-        update.changes().stream().filter(c -> offsetOf.applyAsLong(c) >= nextOffset).toList();
+    List<T> unapplied = update.changes().stream().filter(c -> offset(c) >= nextOffset).toList();
     nextOffset = Math.max(nextOffset, update.next());
     gap = false;
     return unapplied.isEmpty() ? List.of() : applier.apply(unapplied);
--- a/core/src/test/java/org/kumquatplank/core/relay/RelayModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/relay/RelayModelTest.java
@@ -124,8 +124,7 @@
       }
       if (instance.listing.isEmpty()) {
         instance.cursor.beginListing();
-        instance.listing =
-            Optional.of(new Listing(log.size(), log.size(), Optional.of(newestOfEachKey())));
+        instance.listing = Optional.of(new Listing(log.size(), log.size(), Optional.empty()));
       } else if (instance.listing.get().page().isEmpty()) {
         instance.listing =
             Optional.of(
@@ -147,7 +146,8 @@
       }
       Listing listing = instance.listing.get();
       instance.listing = Optional.empty();
-      instance.cursor.onListed(listing.end());
+      instance.cursor.onListed(
+          new TopicUpdate<>(listing.end(), listing.end(), listing.page().get()));
       instance.values.clear();
       instance.apply(listing.page().get());
       instance.listedUntil = listing.pageEnd();
@@ -199,7 +199,7 @@
     world.instances.forEach(
         i -> {
           i.cursor.beginListing();
-          i.cursor.onListed(0);
+          i.cursor.onListed(new TopicUpdate<>(0, 0, List.of()));
         });
     for (int choice : schedule) {
       world.step(choice);
--- a/edge/src/main/java/org/kumquatplank/edge/ServerList.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ServerList.java
@@ -44,7 +44,7 @@
     }
   }
 
-  /** Applies records, and returns those that changed the list. */
+  /** Applies records, and returns all but those that only renew an entry. */
   List<StoreRecord> onChanges(List<StoreRecord> records, long now) {
     return records.stream().filter(r -> apply(r, now)).toList();
   }
@@ -65,12 +65,15 @@
     graceUntil = Math.max(graceUntil, until);
   }
 
-  /** Applies a record, and returns whether it changed more than the time of the last heartbeat. */
+  /**
+   * Applies a record, and returns whether it did more than renew an entry.
+   *
+   * <p>A deletion counts also if the entry is unknown here: a peer may still have it.
+   */
   private boolean apply(StoreRecord record, long now) {
     if (record.value().isEmpty()) {
-      boolean known = servers.containsKey(record.key());
       remove(record.key(), now);
-      return known;
+      return true;
     }
     AtomicBoolean differs = new AtomicBoolean();
     StoreFollower.applyOrLog(record, r -> differs.set(put(r.key(), r.value().orElseThrow())));
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -77,7 +77,10 @@
     /** Handles a snapshot with the newest record of each key. */
     void onSnapshot(List<StoreRecord> records);
 
-    /** Handles later records; returns those that changed the state. */
+    /**
+     * Handles later records, in order; returns all but those that repeat the value of their key.
+     * Deletions are always returned.
+     */
     List<StoreRecord> onChanges(List<StoreRecord> records);
 
     /** Called when the store responds again after an outage of that length, microseconds. */
@@ -107,7 +110,8 @@
               }
               onReadSucceeded();
               lastSource = STORE_SOURCE;
-              cursor.onListed(page.nextOffset());
+              cursor.onListed(
+                  new TopicUpdate<>(page.nextOffset(), page.nextOffset(), page.records()));
               runLoggingFailures(() -> listener.onSnapshot(page.records()));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
--- a/edge/src/test/java/org/kumquatplank/edge/ServerListTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/ServerListTest.java
@@ -60,4 +60,12 @@
     list.onChanges(List.of(new StoreRecord(1, "a", Optional.of(new byte[] {1, 2}))), 1);
     assertThat(sizeAt(1)).isEqualTo(1);
   }
+
+  /** The listing may lack an entry that was deleted while it was read; peers still have it. */
+  @Example
+  void testDeletionOfAnEntryThatTheListingLackedIsPassedOn() {
+    list.onSnapshot(List.of(entry(0, "a")), 0);
+    StoreRecord deletion = deleted(2, "b");
+    assertThat(list.onChanges(List.of(entry(1, "a"), deletion), SECOND)).containsExactly(deletion);
+  }
 }
