Apply updates of peers while a listing is under way

What callers could see: an instance that the store turns away serves revoked keys and rejects added ones for as long as the store is away, although its peers send it the changes.

Cause: an instance that fell behind what the store retains lists the topic anew, and ignored all updates of peers until the listing succeeded; a failed listing is tried again for ever.

Evidence: StoreFollowerTest.testInstanceWhoseListingFailsReceivesChangesFromPeers failed before (the change was not applied within 8 s).

Why this works: updates are applied as at other times; when the listing completes, the later of the two records of each key counts and the position does not go back.

--- a/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
@@ -1,7 +1,10 @@
 package org.kumquatplank.core.relay;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import java.util.function.UnaryOperator;
 
@@ -16,22 +19,26 @@
   private static final long UNKNOWN = -1;
 
   private final ToLongFunction<T> offsetOf;
+  private final Function<T, String> keyOf;
+  private final Map<String, T> receivedWhileListing = new LinkedHashMap<>();
   private long nextOffset = UNKNOWN;
   private boolean listing;
   private long listedUntil = UNKNOWN;
   private boolean gap;
 
-  private TopicCursor(ToLongFunction<T> offsetOf) {
+  private TopicCursor(ToLongFunction<T> offsetOf, Function<T, String> keyOf) {
     this.offsetOf = offsetOf;
+    this.keyOf = keyOf;
   }
 
   /**
    * Returns a cursor whose position is unknown until the first listing.
    *
    * @param offsetOf returns the offset of a change
+   * @param keyOf returns the key of a change; a later change of the same key replaces it
    */
-  public static <T> TopicCursor<T> create(ToLongFunction<T> offsetOf) {
-    return new TopicCursor<>(offsetOf);
+  public static <T> TopicCursor<T> create(ToLongFunction<T> offsetOf, Function<T, String> keyOf) {
+    return new TopicCursor<>(offsetOf, keyOf);
   }
 
   /** Returns the offset below which all changes have been applied, or -1 if it is unknown. */
@@ -49,16 +56,32 @@
     listing = true;
   }
 
+  /** Returns whether a listing has begun and is not complete. */
+  public boolean isListing() {
+    return listing;
+  }
+
   /**
    * Records that a listing is complete.
    *
    * @param listed the newest record of each key, and the end of the log when the listing began
+   * @return the newest record of each key, including those that peers sent during the listing
    */
-  public void onListed(TopicUpdate<T> listed) {
+  public List<T> onListed(TopicUpdate<T> listed) {
+    Map<String, T> newest = new LinkedHashMap<>();
+    listed.changes().forEach(c -> newest.put(keyOf.apply(c), c));
+    receivedWhileListing.values().stream()
+        .filter(c -> offset(c) >= listed.next())
+        .forEach(c -> newest.merge(keyOf.apply(c), c, this::later));
+    receivedWhileListing.clear();
     listing = false;
-    nextOffset = listed.next();
-    listedUntil =
-        listed.changes().stream().mapToLong(offsetOf).map(o -> o + 1).max().orElse(UNKNOWN);
+    nextOffset = Math.max(nextOffset, listed.next());
+    listedUntil = newest.values().stream().mapToLong(c -> offset(c) + 1).max().orElse(UNKNOWN);
+    return List.copyOf(newest.values());
+  }
+
+  private T later(T first, T second) {
+    return offset(first) >= offset(second) ? first : second;
   }
 
   /**
@@ -92,13 +115,16 @@
    * @return whether the update was applied
    */
   public boolean onUpdate(TopicUpdate<T> update, UnaryOperator<List<T>> applier) {
-    if (listing || nextOffset == UNKNOWN) {
+    if (nextOffset == UNKNOWN) {
       return false;
     }
     if (update.from() > nextOffset) {
       gap = true;
       return false;
     }
+    if (listing) {
+      update.changes().forEach(c -> receivedWhileListing.merge(keyOf.apply(c), c, this::later));
+    }
     apply(update, applier);
     return true;
   }
--- a/core/src/test/java/org/kumquatplank/core/relay/RelayModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/relay/RelayModelTest.java
@@ -33,7 +33,7 @@
 
   /** An instance with the values that it has applied. */
   private static final class Instance {
-    private final TopicCursor<Change> cursor = TopicCursor.create(Change::offset);
+    private final TopicCursor<Change> cursor = TopicCursor.create(Change::offset, Change::key);
     private final ChangeBuffer<Change> buffer = ChangeBuffer.create(RETENTION, Change::key);
     private final Map<String, String> values = new HashMap<>();
     private Optional<TopicUpdate<Change>> read = Optional.empty();
@@ -146,10 +146,11 @@
       }
       Listing listing = instance.listing.get();
       instance.listing = Optional.empty();
-      instance.cursor.onListed(
-          new TopicUpdate<>(listing.end(), listing.end(), listing.page().get()));
+      List<Change> records =
+          instance.cursor.onListed(
+              new TopicUpdate<>(listing.end(), listing.end(), listing.page().get()));
       instance.values.clear();
-      instance.apply(listing.page().get());
+      instance.apply(records);
       instance.listedUntil = listing.pageEnd();
     }
 
@@ -199,7 +200,7 @@
     world.instances.forEach(
         i -> {
           i.cursor.beginListing();
-          i.cursor.onListed(new TopicUpdate<>(0, 0, List.of()));
+          assertThat(i.cursor.onListed(new TopicUpdate<>(0, 0, List.of()))).isEmpty();
         });
     for (int choice : schedule) {
       world.step(choice);
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -37,7 +37,8 @@
   private final Topic topic;
   private final ReaderElection election;
   private final Listener listener;
-  private final TopicCursor<StoreRecord> cursor = TopicCursor.create(StoreRecord::offset);
+  private final TopicCursor<StoreRecord> cursor =
+      TopicCursor.create(StoreRecord::offset, StoreRecord::key);
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
   private long lastConfirmedAt = Clock.micros();
   private boolean failing;
@@ -74,7 +75,7 @@
 
   /** Receives the records of the topic. */
   interface Listener {
-    /** Handles a snapshot with the newest record of each key. */
+    /** Handles a snapshot with the newest record of each key, which may be a deletion. */
     void onSnapshot(List<StoreRecord> records);
 
     /**
@@ -110,9 +111,9 @@
               }
               onReadSucceeded();
               lastSource = STORE_SOURCE;
-              cursor.onListed(
-                  new TopicUpdate<>(page.nextOffset(), page.nextOffset(), page.records()));
-              runLoggingFailures(() -> listener.onSnapshot(page.records()));
+              TopicUpdate<StoreRecord> listed =
+                  new TopicUpdate<>(page.nextOffset(), page.nextOffset(), page.records());
+              runLoggingFailures(() -> listener.onSnapshot(cursor.onListed(listed)));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
   }
@@ -179,7 +180,7 @@
     if (!following && !election.isReader(Clock.micros())) {
       setFollowing(true, sender);
     }
-    if (failing) {
+    if (failing && !cursor.isListing()) {
       onStoreRecovered(sender);
     }
     lastConfirmedAt = Math.max(lastConfirmedAt, confirmedAt);
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -198,4 +198,18 @@
       assertThat(f.listener.changes).containsExactly("k=revoked");
     }
   }
+
+  @Example
+  void testInstanceWhoseListingFailsReceivesChangesFromPeers() throws IOException {
+    try (Fixture f = new Fixture()) {
+      f.store.setFault(FakeStore.Fault.DOWN);
+      f.store.put("t", "k", "1");
+      f.store.put("t", "k", "revoked");
+      f.store.forgetHistory("t");
+      f.store.setFault(FakeStore.Fault.LISTINGS_FAIL);
+      await(() -> f.store.failedListings() > 0);
+      f.receive("a", 0, 2, record(1, "k", "revoked"));
+      await(() -> f.listener.changes.contains("k=revoked"));
+    }
+  }
 }
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeStore.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeStore.java
@@ -35,6 +35,7 @@
   private final HttpServer server;
   private final Map<String, Topic> topics = new HashMap<>();
   private Fault fault = Fault.NONE;
+  private int failedListings;
 
   private FakeStore(HttpServer server) {
     this.server = server;
@@ -46,6 +47,8 @@
     NONE,
     /** Every call fails with status 503. */
     DOWN,
+    /** Listings fail with status 503; other calls are answered. */
+    LISTINGS_FAIL,
     /** Calls take effect, but their responses are dropped. */
     ANSWERS_LOST
   }
@@ -93,6 +96,11 @@
     return value == null ? "" : new String(value, StandardCharsets.UTF_8);
   }
 
+  /** Returns the number of listings that failed by {@link Fault#LISTINGS_FAIL}. */
+  public synchronized int failedListings() {
+    return failedListings;
+  }
+
   /** Makes reads from all present offsets fail; the newest record of each key stays available. */
   public synchronized void forgetHistory(String topic) {
     topic(topic).firstOffset = topic(topic).records.size();
@@ -158,6 +166,10 @@
     if (fault == Fault.DOWN) {
       return Response.of(UNAVAILABLE, "{}");
     }
+    if (fault == Fault.LISTINGS_FAIL && path.equals("/log-newest")) {
+      failedListings++;
+      return Response.of(UNAVAILABLE, "{}");
+    }
     String topic = query.get("topic").substring("keyed.".length());
     Response response =
         switch (path) {
