Introduce instances to the reader of their region

What callers saw: an instance followed a new configuration seconds later than its peers, or not at all while the store turned it away: keys and routes that were added got 401 and 404, and revoked keys were served.

Cause: a reader sends its updates to the peers whose digests it has received. With 91 instances a digest goes to six peers in half a second, two of them outside of the failure domain, and probes take random turns for 20 s: some instances were unknown to the reader of their region. These read for themselves, or followed a peer that was not the reader; each stop of such a peer cost 2.2 s, and while the store turned them away nobody told them of changes.

Why this works: each digest names the reader that its sender follows; who hears of another reader of its region than its own sends it a digest, so the reader knows it within a round of any digest of the region.

PeerDirectoryTest.testReaderThatAPeerNamesReceivesADigest failed before (no digest within 8 s).

--- a/core/src/main/java/org/kumquatplank/core/relay/ReaderElection.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/ReaderElection.java
@@ -1,7 +1,9 @@
 package org.kumquatplank.core.relay;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Decides whether an instance reads a topic of the store itself or relies on updates from peers.
@@ -43,7 +45,14 @@
 
   /** Returns whether this instance has to read the topic itself. */
   public boolean isReader(long now) {
+    return reader(now).isEmpty();
+  }
+
+  /** Returns the peer that reads the topic for this instance, or nothing if it has to read. */
+  public Optional<String> reader(long now) {
     confirmedAtByPeer.values().removeIf(at -> now - at > maxAgeMicros);
-    return confirmedAtByPeer.keySet().stream().noneMatch(sender -> sender.compareTo(self) < 0);
+    return confirmedAtByPeer.keySet().stream()
+        .filter(sender -> sender.compareTo(self) < 0)
+        .min(Comparator.naturalOrder());
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -81,6 +81,7 @@
   private Map<String, VersionRule> versionRules = Map.of();
   private TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
+  private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
   private boolean draining;
 
@@ -254,8 +255,7 @@
   }
 
   private void registerInstance() {
-    String address = settings.host() + ":" + settings.firstPeerPort();
-    byte[] value = address.getBytes(StandardCharsets.UTF_8);
+    byte[] value = peerAddress().getBytes(StandardCharsets.UTF_8);
     store
         .put(INSTANCES_TOPIC, settings.instance(), value, OptionalLong.empty())
         .whenComplete(
@@ -293,8 +293,9 @@
     }
 
     @Override
-    public void onRelay(TopicRelay relay) {
+    public void onRelay(TopicRelay relay, InetSocketAddress sender) {
       long now = Clock.micros();
+      relayAddresses.put(relay.getSender(), sender);
       if (relay.getTopic().equals(OPERATOR_TOPIC)) {
         TopicUpdates.deliverTo(relay, now, operatorRecords, until -> {});
       } else if (relay.getTopic().equals(SERVERS_TOPIC)) {
@@ -334,7 +335,8 @@
             .setReady(trafficReport.ready() && !draining)
             .setLeaving(draining)
             .setCatalogVersion(catalogVersion())
-            .setOperatorOffset(operatorRecords.status().nextOffset());
+            .setOperatorOffset(operatorRecords.status().nextOffset())
+            .setOperatorReaderAddress(operatorReaderAddress());
     for (PeerLoad load : trafficReport.loads()) {
       digest.addLoads(
           EdgeLoad.newBuilder()
@@ -347,6 +349,18 @@
     directory.send(digest, now);
   }
 
+  private String operatorReaderAddress() {
+    return operatorRecords
+        .reader()
+        .map(relayAddresses::get)
+        .map(a -> a.getHostString() + ":" + a.getPort())
+        .orElse(peerAddress());
+  }
+
+  private String peerAddress() {
+    return settings.host() + ":" + settings.firstPeerPort();
+  }
+
   private long catalogVersion() {
     return catalog.map(Catalog::version).orElse(-1L);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
@@ -17,9 +17,11 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.kumquatplank.link.proto.EdgeDatagram;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.TopicRelay;
@@ -62,6 +64,8 @@
   private final Random random = new Random();
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<InetSocketAddress, Long> probeUntil = new HashMap<>();
+  private final Set<InetSocketAddress> unfollowedReaders = new HashSet<>();
+  private String followedReader = "";
   private final Listener listener;
   private Channel channel;
   private int round;
@@ -79,8 +83,8 @@
     /** Handles the state and in-flight load of a peer. */
     void onDigest(EdgeDigest digest);
 
-    /** Handles records that a peer read from the store. */
-    void onRelay(TopicRelay relay);
+    /** Handles records that a peer at that address read from the store. */
+    void onRelay(TopicRelay relay, InetSocketAddress sender);
   }
 
   /** A peer with its last digest and when that arrived, microseconds. */
@@ -125,7 +129,7 @@
     }
     switch (datagram.getContentCase()) {
       case DIGEST -> receive(datagram.getDigest(), packet);
-      case RELAY -> listener.onRelay(datagram.getRelay());
+      case RELAY -> listener.onRelay(datagram.getRelay(), packet.sender());
       case CONTENT_NOT_SET -> EdgeLog.event("empty_datagram").log();
     }
   }
@@ -148,12 +152,18 @@
         probe(other, now);
       }
     }
+    String reader = digest.getOperatorReaderAddress();
+    boolean unfollowed = !reader.isEmpty() && !reader.equals(followedReader);
+    if (unfollowed && digest.getRegion().equals(region)) {
+      unfollowedReaders.add(SettingsDecoder.address(reader));
+    }
     listener.onDigest(digest);
   }
 
   /** Sends the digest of this instance to some peers and probed addresses. */
   void send(EdgeDigest.Builder digest, long now) {
     digest.setInstance(self).setStartedMillis(startedMillis);
+    followedReader = digest.getOperatorReaderAddress();
     List<Peer> live = live(now);
     Collections.shuffle(live, random);
     round++;
@@ -169,6 +179,9 @@
       return;
     }
     chooseReceivers(live).forEach(peer -> write(bytes, peer.address()));
+    // A reader sends its updates only to peers whose digests it has received.
+    unfollowedReaders.forEach(a -> write(bytes, a));
+    unfollowedReaders.clear();
     probeUntil.values().removeIf(until -> until < now);
     if (round % PROBE_ROUND_INTERVAL == 0) {
       List<InetSocketAddress> targets = new ArrayList<>(probeUntil.keySet());
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -99,6 +100,11 @@
     return new Status(cursor.nextOffset(), lastConfirmedAt, lastSource, following);
   }
 
+  /** Returns the peer that reads the topic for this instance, if any. */
+  Optional<String> reader() {
+    return election.reader(Clock.micros());
+  }
+
   private void readSnapshot() {
     cursor.beginListing();
     store
--- a/edge/src/test/java/org/kumquatplank/edge/PeerDirectoryTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/PeerDirectoryTest.java
@@ -33,7 +33,7 @@
     }
 
     @Override
-    public void onRelay(TopicRelay relay) {
+    public void onRelay(TopicRelay relay, InetSocketAddress sender) {
       relays.add(relay);
     }
   }
@@ -84,4 +84,40 @@
       loop.parent().shutdownGracefully();
     }
   }
+
+  /** A reader sends updates only to peers that it knows by their digests. */
+  @Example
+  void testReaderThatAPeerNamesReceivesADigest() throws InterruptedException {
+    EventLoop loop =
+        (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    try {
+      Inbox reader = new Inbox();
+      Inbox inboxC = new Inbox();
+      PeerDirectory a = new PeerDirectory("a", "z", "r", 1, reader);
+      PeerDirectory b = new PeerDirectory("b", "z", "r", 1, new Inbox());
+      PeerDirectory c = new PeerDirectory("c", "z", "r", 1, inboxC);
+      InetSocketAddress addressA = EdgeFixture.freeAddress();
+      InetSocketAddress addressC = EdgeFixture.freeAddress();
+      a.bind(loop, addressA);
+      b.bind(loop, EdgeFixture.freeAddress());
+      c.bind(loop, addressC);
+      EdgeDigest.Builder namesA =
+          EdgeDigest.newBuilder()
+              .setZone("z")
+              .setRegion("r")
+              .setOperatorReaderAddress("127.0.0.1:" + addressA.getPort());
+      loop.execute(() -> b.probe(addressC, Clock.micros()));
+      // Addresses are probed in every second round.
+      loop.execute(() -> b.send(namesA.clone(), Clock.micros()));
+      loop.execute(() -> b.send(namesA.clone(), Clock.micros()));
+      assertThat(inboxC.digests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+      EdgeDigest.Builder readsItself = EdgeDigest.newBuilder().setZone("z").setRegion("r");
+      loop.execute(() -> c.send(readsItself, Clock.micros()));
+      EdgeDigest received = reader.digests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      assertThat(received).isNotNull();
+      assertThat(received.getInstance()).isEqualTo("c");
+    } finally {
+      loop.parent().shutdownGracefully();
+    }
+  }
 }
