--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -2,13 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.Catalog;
@@ -23,7 +21,6 @@
 import org.kumquatplank.platform.store.StoreRecord;
 import org.kumquatplank.platform.wire.CatalogDecoder;
 import org.kumquatplank.platform.wire.EdgeSettings;
-import org.kumquatplank.platform.wire.SettingsDecoder;
 
 /**
  * The control state: configuration, backend servers, other instances and roll-outs.
@@ -35,9 +32,6 @@
   private static final String OPERATOR_TOPIC = "op";
   private static final String SERVERS_TOPIC = "servers";
 
-  /** Topic where instances register their addresses, for discovery by others. */
-  private static final String INSTANCES_TOPIC = "instances";
-
   /** Long-poll wait: the store returns a change at once, and a dead connection shows after this. */
   private static final long OPERATOR_LONG_POLL_MILLIS = 1_000;
 
@@ -61,13 +55,6 @@
    */
   private static final long UPDATE_FRESH_MICROS = 2_200_000;
 
-  private static final long DISCOVERY_INTERVAL_MILLIS = 15_000;
-
-  /** Longer interval while peers are known, since their digests name new instances. */
-  private static final long DISCOVERY_WITH_PEERS_INTERVAL_MILLIS = 60_000;
-
-  private static final long DISCOVERY_RETRY_MILLIS = 500;
-
   private final EdgeSettings settings;
   private final EventLoop loop;
   private final DataPlane dataPlane;
@@ -129,7 +116,7 @@
     }
     operatorRecords.start();
     serverRecords.start();
-    registerInstance();
+    InstanceDiscovery.create(settings, loop, store, directory).start();
     sendDigests();
     loop.scheduleAtFixedRate(
         this::runPeriodicTasks,
@@ -254,37 +241,6 @@
     }
   }
 
-  private void registerInstance() {
-    byte[] value = peerAddress().getBytes(StandardCharsets.UTF_8);
-    store
-        .put(INSTANCES_TOPIC, settings.instance(), value, OptionalLong.empty())
-        .whenComplete(
-            (offset, failure) -> {
-              if (failure != null) {
-                loop.schedule(
-                    this::registerInstance, DISCOVERY_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-              } else {
-                discoverInstances();
-              }
-            });
-  }
-
-  private void discoverInstances() {
-    store
-        .readNewest(INSTANCES_TOPIC)
-        .whenComplete(
-            (page, failure) -> {
-              if (failure == null) {
-                page.records().forEach(r -> StoreFollower.applyOrLog(r, this::onInstanceRecord));
-              }
-              boolean alone = directory.live(Clock.micros()).isEmpty();
-              long interval =
-                  alone ? DISCOVERY_INTERVAL_MILLIS : DISCOVERY_WITH_PEERS_INTERVAL_MILLIS;
-              long pause = failure == null ? interval : DISCOVERY_RETRY_MILLIS;
-              loop.schedule(this::discoverInstances, pause, TimeUnit.MILLISECONDS);
-            });
-  }
-
   /** Handles digests and relayed records from peers. */
   private final class PeerListener implements PeerDirectory.Listener {
     @Override
@@ -304,19 +260,6 @@
     }
   }
 
-  private void onInstanceRecord(StoreRecord record) {
-    if (record.key().equals(settings.instance()) || record.value().isEmpty()) {
-      return;
-    }
-    String address = new String(record.value().get(), StandardCharsets.UTF_8);
-    long now = Clock.micros();
-    boolean isLive =
-        directory.live(now).stream().anyMatch(p -> p.digest().getInstance().equals(record.key()));
-    if (!isLive) {
-      directory.probe(SettingsDecoder.address(address), now);
-    }
-  }
-
   private void sendDigests() {
     sendDigest();
     boolean many = directory.live(Clock.micros()).size() > MANY_INSTANCES;
@@ -354,11 +297,7 @@
         .reader()
         .map(relayAddresses::get)
         .map(a -> a.getHostString() + ":" + a.getPort())
-        .orElse(peerAddress());
-  }
-
-  private String peerAddress() {
-    return settings.host() + ":" + settings.firstPeerPort();
+        .orElse(InstanceDiscovery.peerAddress(settings));
   }
 
   private long catalogVersion() {
