Evict what passed retention before applying a page of claims

What callers saw: a call with an idempotency key could run twice. The key had been used before; after its records had passed retention two instances claimed it again, and both were granted it.

Cause: ClaimPartition applied the records of a page first and evicted the keys below the first retained offset after that. An instance that had not read the partition since ignored the new claim, because the key still had its old state; then it evicted the old state. Its offset had passed the new claim, so the claim was lost to it for good, and the next claim of the key was granted there too.

Why this works: a claim is appended only by an instance that has evicted the key, so every page that holds it names a first retained offset above the old state. Evicting first makes every reader see the key as free when it reads that claim.

Test: LogClaimStoreTest.testKeyClaimedAgainAfterRetentionHasOneHolder; without the fix "expected HeldByOther[holder=holder-b] but was Granted[]".

--- a/core/src/main/java/org/kumquatplank/core/claims/ClaimPartition.java
+++ b/core/src/main/java/org/kumquatplank/core/claims/ClaimPartition.java
@@ -186,11 +186,12 @@
           throw LogException.noEffect("the log was not read to its end in time");
         }
         page = log.read(stream, nextOffset, Instant.MIN);
+        // A record may claim a key whose earlier entries have passed retention, so they go first.
+        index.evictBefore(page.firstRetained());
         for (LogRecord record : page.records()) {
           apply(record);
         }
         nextOffset = Math.max(nextOffset, page.next());
-        index.evictBefore(page.firstRetained());
       } while (!page.reachesEnd());
     }
   }
--- a/core/src/test/java/org/kumquatplank/core/claims/LogClaimStoreTest.java
+++ b/core/src/test/java/org/kumquatplank/core/claims/LogClaimStoreTest.java
@@ -90,4 +90,17 @@
     assertThat(newStore().claim(claim("b"), deadline()))
         .isEqualTo(new ClaimDecision.AlreadyEnded(COMPLETED));
   }
+
+  // The store passed over the new claim because of the old one, then forgot the old one and granted
+  // the key a second time.
+  @Example
+  void testKeyClaimedAgainAfterRetentionHasOneHolder() {
+    store.claim(claim("a"), deadline());
+    store.settle(new Settled(KEY, "f", "a", COMPLETED), deadline());
+    log.retain("claims-" + KEY.partition(4), 0);
+    assertThat(newStore().claim(claim("b"), deadline())).isEqualTo(new ClaimDecision.Granted());
+    assertThat(store.find(KEY, deadline())).isEmpty();
+    assertThat(store.claim(claim("c"), deadline()))
+        .isEqualTo(new ClaimDecision.HeldByOther("holder-b"));
+  }
 }
