Forget the nonces of abandoned claims with their records

What callers saw: nothing at once. Each call that was not sent (no server, log unavailable) left a nonce in memory for as long as the instance ran, and instances disagreed on a claim that was appended after its settlement had passed retention.

Cause: ClaimIndex evicted the states of keys by retention, but not the abandoned nonces.

Why this works: a nonce is kept with the offset of its settlement and evicted like a key, so the index depends only on the retained records, as a new reader's does.

Test: LogClaimStoreTest.testAbandonedClaimIsForgottenWithItsRecord; without the fix "expected HeldByOther[holder=holder-a] but was Granted[]" at the store that had read the settlement.

--- a/core/src/main/java/org/kumquatplank/core/claims/ClaimIndex.java
+++ b/core/src/main/java/org/kumquatplank/core/claims/ClaimIndex.java
@@ -1,11 +1,9 @@
 package org.kumquatplank.core.claims;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.kumquatplank.core.claims.ClaimEntry.Claimed;
 import org.kumquatplank.core.claims.ClaimEntry.Settled;
 
@@ -20,8 +18,11 @@
   private final Map<ClaimKey, KeyState> statesByKey = new HashMap<>();
   private final LinkedHashMap<ClaimKey, Long> lastOffsets = new LinkedHashMap<>();
 
-  /** Claims settled as not sent. Such a claim has no effect if it is appended after that. */
-  private final Set<String> abandonedNonces = new HashSet<>();
+  /**
+   * Nonces of the claims settled as not sent, with the offset of the settlement. Such a claim has
+   * no effect if it is appended after that.
+   */
+  private final LinkedHashMap<String, Long> abandonedNonces = new LinkedHashMap<>();
 
   /** The state of one key; the outcome is empty while the call has not ended. */
   record KeyState(String fingerprint, String nonce, String holder, Optional<Outcome> outcome) {}
@@ -34,7 +35,7 @@
   }
 
   private void applyClaimed(long offset, Claimed c) {
-    boolean abandoned = abandonedNonces.contains(c.nonce());
+    boolean abandoned = abandonedNonces.containsKey(c.nonce());
     if (abandoned || statesByKey.containsKey(c.key())) {
       return;
     }
@@ -45,7 +46,7 @@
     KeyState current = statesByKey.get(s.key());
     boolean ownClaim = current != null && current.nonce().equals(s.nonce());
     if (s.outcome() instanceof Outcome.NotSent) {
-      abandonedNonces.add(s.nonce());
+      abandonedNonces.putLast(s.nonce(), offset);
       if (ownClaim && current.outcome().isEmpty()) {
         statesByKey.remove(s.key());
         lastOffsets.remove(s.key());
@@ -64,16 +65,13 @@
     lastOffsets.put(key, offset);
   }
 
-  /** Evicts the keys whose last entry has an offset below {@code firstRetained}. */
+  /** Evicts what rests only on entries with an offset below {@code firstRetained}. */
   void evictBefore(long firstRetained) {
-    var oldestFirst = lastOffsets.entrySet().iterator();
-    while (oldestFirst.hasNext()) {
-      Map.Entry<ClaimKey, Long> next = oldestFirst.next();
-      if (next.getValue() >= firstRetained) {
-        return;
-      }
-      statesByKey.remove(next.getKey());
-      oldestFirst.remove();
+    while (!lastOffsets.isEmpty() && lastOffsets.firstEntry().getValue() < firstRetained) {
+      statesByKey.remove(lastOffsets.pollFirstEntry().getKey());
+    }
+    while (!abandonedNonces.isEmpty() && abandonedNonces.firstEntry().getValue() < firstRetained) {
+      abandonedNonces.pollFirstEntry();
     }
   }
 
--- a/core/src/test/java/org/kumquatplank/core/claims/LogClaimStoreTest.java
+++ b/core/src/test/java/org/kumquatplank/core/claims/LogClaimStoreTest.java
@@ -103,4 +103,17 @@
     assertThat(store.claim(claim("c"), deadline()))
         .isEqualTo(new ClaimDecision.HeldByOther("holder-b"));
   }
+
+  // The store kept the nonce of every call that was not sent for as long as it ran.
+  @Example
+  void testAbandonedClaimIsForgottenWithItsRecord() {
+    String stream = "claims-" + KEY.partition(4);
+    store.settle(new Settled(KEY, "f", "a", new Outcome.NotSent("abandoned")), deadline());
+    log.retain(stream, 0);
+    log.append(stream, ClaimCodec.toJson(java.util.List.of(claim("a"))), deadline());
+    assertThat(newStore().claim(claim("b"), deadline()))
+        .isEqualTo(new ClaimDecision.HeldByOther("holder-a"));
+    assertThat(store.claim(claim("b"), deadline()))
+        .isEqualTo(new ClaimDecision.HeldByOther("holder-a"));
+  }
 }
