Keep following the configuration after an unexpected exception

What callers saw: the instance kept its configuration of that time until it heard of a newer one from a peer. If the same response or record reached all instances, none read the configuration again: all requests were rejected as stale_configuration until a restart.

Cause: ConfigFollower.run caught LogException only; any other exception, also one thrown on the control thread while a page was applied, ended its thread without a line in the log of the instance.

Why this works: every exception is logged and the next read starts after the usual delay. Such an exception does not mark the log as unreachable: it says nothing about the log, and a majority without the log goes on serving.

--- a/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
@@ -9,6 +9,8 @@
 import org.kumquatplank.core.log.LogException;
 import org.kumquatplank.core.log.LogPage;
 import org.kumquatplank.core.membership.RendezvousHashing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the configuration stream as it grows, and appends snapshots to it.
@@ -17,6 +19,8 @@
  * Runs on its own thread.
  */
 final class ConfigFollower implements Runnable {
+  private static final Logger LOG = LoggerFactory.getLogger(ConfigFollower.class);
+
   /** Name of the configuration stream. */
   static final String STREAM = "config";
 
@@ -58,26 +62,39 @@
   public void run() {
     while (!stopped) {
       try {
-        long startedAt = nanoTime.getAsLong();
-        long from = state.snapshot().configNextOffset();
-        LogPage page = log.read(STREAM, from, Instant.now().plus(LONG_POLL_TIMEOUT));
-        boolean complete =
-            controlThread.call(
-                () -> {
-                  state.applyPage(page);
-                  return state.snapshot().configComplete();
-                });
-        if (page.reachesEnd() && complete) {
-          freshness.confirmByLog(startedAt);
-        }
-        appendSnapshotIfDue(page);
+        readOnce();
       } catch (LogException e) {
         freshness.recordLogFailure();
         pause();
+      } catch (RuntimeException e) {
+        logUnlessStopped(e);
+        pause();
       }
     }
   }
 
+  private void readOnce() {
+    long startedAt = nanoTime.getAsLong();
+    long from = state.snapshot().configNextOffset();
+    LogPage page = log.read(STREAM, from, Instant.now().plus(LONG_POLL_TIMEOUT));
+    boolean complete =
+        controlThread.call(
+            () -> {
+              state.applyPage(page);
+              return state.snapshot().configComplete();
+            });
+    if (page.reachesEnd() && complete) {
+      freshness.confirmByLog(startedAt);
+    }
+    appendSnapshotIfDue(page);
+  }
+
+  private void logUnlessStopped(RuntimeException e) {
+    if (!stopped) {
+      LOG.error("cannot follow the configuration stream", e);
+    }
+  }
+
   private void appendSnapshotIfDue(LogPage page) {
     for (var record : page.records()) {
       boolean isSnapshot =
