Count the log as reachable whenever a read of it succeeds

What callers would see: instances that read the log, but know that records are missing to them, reported to their peers that they cannot reach it. With enough of them a peer that is cut off counts a majority without the log and goes on serving an old configuration, though the log takes changes.

Cause: only a read that reached the end with a complete configuration marked the log as reachable; after one failure an incomplete instance stayed "unreachable".

Why this works: a successful read marks the log as reachable; the confirmation still needs the end and completeness.

Test: ConfigFollowerTest.testLogIsReachableThoughRecordsAreMissing; without the fix "expecting value to be true but was false" for logReachable.

--- a/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
@@ -77,6 +77,7 @@
     long startedAt = nanoTime.getAsLong();
     long from = state.snapshot().configNextOffset();
     LogPage page = log.read(STREAM, from, Instant.now().plus(LONG_POLL_TIMEOUT));
+    freshness.recordLogRead();
     boolean complete =
         controlThread.call(
             () -> {
--- a/daemon/src/main/java/org/kumquatplank/daemon/Freshness.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/Freshness.java
@@ -52,6 +52,11 @@
     confirm(startedAt);
   }
 
+  /** Records that a read of the log succeeded, though it may not have reached the end. */
+  synchronized void recordLogRead() {
+    logReachable = true;
+  }
+
   synchronized void recordLogFailure() {
     logReachable = false;
   }
--- a/daemon/src/test/java/org/kumquatplank/daemon/ConfigFollowerTest.java
+++ b/daemon/src/test/java/org/kumquatplank/daemon/ConfigFollowerTest.java
@@ -65,4 +65,19 @@
       assertThat(instance.freshness.isFresh()).isTrue();
     }
   }
+
+  // Instances that knew of missing records counted as cut off from the log; a majority of them
+  // would have served an old configuration.
+  @Example
+  void testLogIsReachableThoughRecordsAreMissing() {
+    log.append("config", InstanceFixture.change(0), Instant.MAX);
+    log.deleteAll("config");
+    log.append("config", InstanceFixture.change(1), Instant.MAX);
+    try (InstanceFixture instance = new InstanceFixture()) {
+      followUntil(instance, log, () -> instance.state.snapshot().configNextOffset() == 2);
+      assertThat(instance.state.snapshot().configComplete()).isFalse();
+      assertThat(instance.freshness.logReachable()).isTrue();
+      assertThat(instance.freshness.isFresh()).isFalse();
+    }
+  }
 }
