Notice missing configuration records on an empty page

What callers would see: an instance that was cut off until retention had removed every record it lacked (a revoked key among them) read an empty page beyond its offset, counted itself as up to date and served by its old configuration until a peer reported a later offset.

Cause: the gap was noticed only at the next record. An empty page reaches the end of the log, and the reader was still "complete", so the read confirmed a range whose content had not been applied.

Why this works: the first retained offset of each page marks what is below it and was not applied as missing.

Test: ControlStateTest.testIsIncompleteAfterAnEmptyPageBeyondItsOffset; without the fix "expecting value to be false but was true" for configComplete.

--- a/core/src/main/java/org/kumquatplank/core/config/ConfigReducer.java
+++ b/core/src/main/java/org/kumquatplank/core/config/ConfigReducer.java
@@ -45,10 +45,7 @@
     if (offset < nextOffset) {
       return ApplyResult.NO_EFFECT;
     }
-    if (offset > nextOffset) {
-      heldChanges.clear();
-      gapEnd = offset;
-    }
+    markMissingBefore(offset);
     nextOffset = offset + 1;
     return switch (entry) {
       case ConfigEntry.Change change -> applyOrHold(offset, change);
@@ -56,6 +53,18 @@
     };
   }
 
+  /**
+   * Marks the records below {@code firstRetained} that were not applied as missing, since the log
+   * no longer holds them.
+   */
+  public void markMissingBefore(long firstRetained) {
+    if (firstRetained > nextOffset) {
+      heldChanges.clear();
+      gapEnd = firstRetained;
+      nextOffset = firstRetained;
+    }
+  }
+
   private ApplyResult applyOrHold(long offset, ConfigEntry.Change change) {
     if (!isComplete()) {
       heldChanges.put(offset, change);
--- a/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
@@ -91,6 +91,7 @@
   /** Applies a page of the configuration stream. */
   void applyPage(LogPage page) {
     Configuration previous = reducer.current();
+    reducer.markMissingBefore(page.firstRetained());
     for (LogRecord record : page.records()) {
       Optional<ConfigEntry> entry = ConfigCodec.fromJson(record.text());
       entry.ifPresent(e -> applyEntry(record.offset(), e));
