Pass over records of the configuration stream that are no entries

What callers would see: after one record in the stream that is not an entry of this program, the next change made every instance incomplete. Until that change each instance read the record again without a pause.

Cause: ControlState dropped a record that does not parse without telling the reducer its offset, so the reducer took the next record for one after a gap.

Why this works: the reducer moves past such a record, which has no effect on any instance. An instance of an older release that cannot read a newer kind of entry stays at a lower version than its peers report and rejects requests.

Evidence: found by reading; the product itself appends no such record. ControlStateTest.testRecordThatIsNoEntryLeavesNoGap failed before: "expecting value to be true but was false" for configComplete.

--- a/core/src/main/java/org/kumquatplank/core/config/ConfigReducer.java
+++ b/core/src/main/java/org/kumquatplank/core/config/ConfigReducer.java
@@ -65,6 +65,14 @@
     }
   }
 
+  /** Passes over the record at {@code offset}, which is not an entry of the stream. */
+  public void skip(long offset) {
+    if (offset >= nextOffset) {
+      markMissingBefore(offset);
+      nextOffset = offset + 1;
+    }
+  }
+
   private ApplyResult applyOrHold(long offset, ConfigEntry.Change change) {
     if (!isComplete()) {
       heldChanges.put(offset, change);
--- a/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
@@ -94,11 +94,16 @@
     reducer.markMissingBefore(page.firstRetained());
     for (LogRecord record : page.records()) {
       Optional<ConfigEntry> entry = ConfigCodec.fromJson(record.text());
-      entry.ifPresent(e -> applyEntry(record.offset(), e));
+      entry.ifPresentOrElse(e -> applyEntry(record.offset(), e), () -> skipRecord(record.offset()));
     }
     onConfigurationApplied(previous);
   }
 
+  private void skipRecord(long offset) {
+    reducer.skip(offset);
+    LOG.warn("malformed record in stream {} at offset {}", ConfigFollower.STREAM, offset);
+  }
+
   private void applyEntry(long offset, ConfigEntry entry) {
     ConfigReducer.ApplyResult result = reducer.apply(offset, entry);
     if (entry instanceof ConfigEntry.Change change
--- a/daemon/src/test/java/org/kumquatplank/daemon/ControlStateTest.java
+++ b/daemon/src/test/java/org/kumquatplank/daemon/ControlStateTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.log.LogPage;
+import org.kumquatplank.core.log.LogRecord;
 
 class ControlStateTest {
   // The page reaches the end of the log, so the instance counted as up to date without the change
@@ -26,4 +27,21 @@
       assertThat(instance.state.snapshot().configComplete()).isTrue();
     }
   }
+
+  // A record that is none of this program left a gap that only a snapshot closed, and no instance
+  // was complete enough to append one.
+  @Example
+  void testRecordThatIsNoEntryLeavesNoGap() {
+    try (InstanceFixture instance = new InstanceFixture()) {
+      instance.applyPage(
+          new LogPage(
+              0,
+              2,
+              2,
+              List.of(new LogRecord(0, "no entry"), new LogRecord(1, InstanceFixture.change(0)))));
+      assertThat(instance.state.snapshot().configComplete()).isTrue();
+      assertThat(instance.state.snapshot().configuration().version()).isEqualTo(1);
+      assertThat(instance.state.snapshot().configNextOffset()).isEqualTo(2);
+    }
+  }
 }
