Treat an operation without its fields as malformed

What operators would see: an internal error instead of malformed_request for a change with an incomplete item or an unknown kind. What callers would see: such a record in the log ended the thread that follows the configuration. Both follow from the code; only the reading of the text was run.

Cause: Gson wraps the exceptions of record constructors in plain RuntimeExceptions, which ConfigCodec did not catch, and reads an unknown kind as null, which failed only when the operation was applied.

Why this works: both are caught where the text is read: no entry for a record, JsonParseException for a request.

Test: ControlStateTest.testEntryWithMissingFieldsIsNoEntry; without the fix "RuntimeException: Failed to invoke constructor ClientAccount(...)".

--- a/core/src/main/java/org/kumquatplank/core/config/ConfigCodec.java
+++ b/core/src/main/java/org/kumquatplank/core/config/ConfigCodec.java
@@ -3,7 +3,7 @@
 import com.google.gson.Gson;
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonParseException;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
@@ -33,7 +33,8 @@
   public static Optional<ConfigEntry> fromJson(String text) {
     try {
       return Optional.ofNullable(GSON.fromJson(text, EntryShape.class)).map(EntryShape::toEntry);
-    } catch (JsonParseException | NullPointerException e) {
+    } catch (RuntimeException e) {
+      // Gson wraps the exceptions of record constructors in plain runtime exceptions.
       return Optional.empty();
     }
   }
@@ -54,15 +55,12 @@
    * @throws JsonParseException if the text is not a list of operations
    */
   public static List<ConfigOp> opsFromJson(String text) {
-    OpShape[] shapes = GSON.fromJson(text, OpShape[].class);
-    if (shapes == null) {
-      throw new JsonParseException("a JSON list of operations is expected");
-    }
-    List<ConfigOp> ops = new ArrayList<>();
-    for (OpShape shape : shapes) {
-      ops.add(shape.toOp());
+    try {
+      return Arrays.stream(GSON.fromJson(text, OpShape[].class)).map(OpShape::toOp).toList();
+    } catch (RuntimeException e) {
+      // Gson wraps the exceptions of record constructors in plain runtime exceptions.
+      throw new JsonParseException("a JSON list of operations is expected", e);
     }
-    return ops;
   }
 
   /** The JSON form of an entry; only the fields of a change or those of a snapshot are present. */
@@ -117,7 +115,7 @@
     }
 
     ConfigOp toOp() {
-      if (remove != null) {
+      if (remove != null && remove.kind() != null && remove.name() != null) {
         return remove;
       }
       Named item = workClass;
--- a/daemon/src/test/java/org/kumquatplank/daemon/ControlStateTest.java
+++ b/daemon/src/test/java/org/kumquatplank/daemon/ControlStateTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import net.jqwik.api.Example;
+import org.kumquatplank.core.config.ConfigCodec;
 import org.kumquatplank.core.log.LogPage;
 import org.kumquatplank.core.log.LogRecord;
 
@@ -44,4 +45,14 @@
       assertThat(instance.state.snapshot().configNextOffset()).isEqualTo(2);
     }
   }
+
+  // Such a record ended the thread that follows the configuration.
+  @Example
+  void testEntryWithMissingFieldsIsNoEntry() {
+    String changeOf = "{\"base\":0,\"nonce\":\"n\",\"author\":\"x\",\"ops\":[%s]}";
+    assertThat(ConfigCodec.fromJson(changeOf.formatted("{\"account\":{\"name\":\"hq\"}}")))
+        .isEmpty();
+    assertThat(ConfigCodec.fromJson(changeOf.formatted("{\"remove\":{\"kind\":\"NONE\"}}")))
+        .isEmpty();
+  }
 }
