Record no verdict for a change that is not decided

Cause: ControlState recorded HELD as the verdict, and the publisher takes every verdict other than ACCEPTED for a conflict.

Why this works: only ACCEPTED and CONFLICT are recorded. For a held change the publisher waits and then answers "unknown", which is true.

Test: ControlStateTest.testHeldChangeHasNoVerdict; without the fix "expecting an empty Optional but was containing value: HELD".

--- a/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
@@ -106,8 +106,10 @@
 
   private void applyEntry(long offset, ConfigEntry entry) {
     ConfigReducer.ApplyResult result = reducer.apply(offset, entry);
-    if (entry instanceof ConfigEntry.Change change
-        && result != ConfigReducer.ApplyResult.NO_EFFECT) {
+    boolean decided =
+        result == ConfigReducer.ApplyResult.ACCEPTED
+            || result == ConfigReducer.ApplyResult.CONFLICT;
+    if (decided && entry instanceof ConfigEntry.Change change) {
       verdicts.putIfAbsent(change.nonce(), result);
     }
   }
--- a/daemon/src/test/java/org/kumquatplank/daemon/ControlStateTest.java
+++ b/daemon/src/test/java/org/kumquatplank/daemon/ControlStateTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.config.ConfigCodec;
+import org.kumquatplank.core.config.ConfigEntry;
 import org.kumquatplank.core.log.LogPage;
 import org.kumquatplank.core.log.LogRecord;
 
@@ -29,6 +30,21 @@
     }
   }
 
+  // The publisher was told that another change came first, though its own took effect.
+  @Example
+  void testHeldChangeHasNoVerdict() {
+    try (InstanceFixture instance = new InstanceFixture()) {
+      instance.applyPage(
+          new LogPage(3, 4, 4, List.of(new LogRecord(3, InstanceFixture.change(1)))));
+      assertThat(instance.controlThread.call(() -> instance.state.findVerdict("nonce-1")))
+          .isEmpty();
+      ConfigEntry.Snapshot missed =
+          new ConfigEntry.Snapshot(instance.state.snapshot().configuration().withVersion(1), 3);
+      instance.applyRecord(4, ConfigCodec.toJson(missed));
+      assertThat(instance.state.snapshot().configuration().version()).isEqualTo(2);
+    }
+  }
+
   // A record that is none of this program left a gap that only a snapshot closed, and no instance
   // was complete enough to append one.
   @Example
