--- a/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
@@ -105,14 +105,16 @@
       lastSnapshotOffset = isSnapshot ? record.offset() : lastSnapshotOffset;
     }
     ControlSnapshot snapshot = state.snapshot();
-    boolean due = snapshot.configNextOffset() - lastSnapshotOffset >= SNAPSHOT_INTERVAL_RECORDS;
+    boolean due =
+        page.firstRetained() > lastSnapshotOffset
+            || snapshot.configNextOffset() - lastSnapshotOffset >= SNAPSHOT_INTERVAL_RECORDS;
     if (!due || !snapshot.configComplete() || !isSnapshotWriter(snapshot)) {
       return;
     }
     ConfigEntry entry =
         new ConfigEntry.Snapshot(snapshot.configuration(), snapshot.configNextOffset());
-    log.append(STREAM, ConfigCodec.toJson(entry), Instant.now().plus(APPEND_TIMEOUT));
-    lastSnapshotOffset = snapshot.configNextOffset();
+    lastSnapshotOffset =
+        log.append(STREAM, ConfigCodec.toJson(entry), Instant.now().plus(APPEND_TIMEOUT));
   }
 
   /**
--- a/daemon/src/test/java/org/kumquatplank/daemon/ConfigFollowerTest.java
+++ b/daemon/src/test/java/org/kumquatplank/daemon/ConfigFollowerTest.java
@@ -3,11 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import net.jqwik.api.Example;
+import org.kumquatplank.core.config.ConfigCodec;
+import org.kumquatplank.core.config.ConfigEntry;
 import org.kumquatplank.core.log.EventLog;
 import org.kumquatplank.core.log.LogPage;
+import org.kumquatplank.core.membership.ListedInstance.Role;
 
 class ConfigFollowerTest {
   private static final int MAX_WAITS = 500;
@@ -66,6 +71,23 @@
     }
   }
 
+  // The log then held neither the start of the stream nor a snapshot: no new instance could read
+  // the configuration from it.
+  @Example
+  void testAppendsASnapshotWhenRetentionHasRemovedTheLastOne() {
+    log.append("config", InstanceFixture.change(0), Instant.MAX);
+    try (InstanceFixture instance = new InstanceFixture()) {
+      instance.setInstances(InstanceFixture.listed("a", Role.ENTRY, 1, Set.of()));
+      followUntil(instance, log, instance.freshness::isFresh);
+      assertThat(log.texts("config")).containsExactly(InstanceFixture.change(0));
+      log.deleteAll("config");
+      followUntil(instance, log, () -> !log.texts("config").isEmpty());
+      assertThat(log.texts("config").stream().map(ConfigCodec::fromJson))
+          .contains(
+              Optional.of(new ConfigEntry.Snapshot(instance.state.snapshot().configuration(), 1)));
+    }
+  }
+
   // Instances that knew of missing records counted as cut off from the log; a majority of them
   // would have served an old configuration.
   @Example
