Pair a confirmation with an offset that it covers

What callers would see: an instance that lacked a change counted itself as up to date by a peer's digest and handled requests by the old configuration, up to the lifetime of the confirmation (3 s) longer than the bound allows.

Cause: PeerServer.digest read the applied offset first and the age of the confirmation after it. If a read of the log ended in between, the digest paired the offset before the read with the confirmation after it, a claim that the range up to the lower offset was all there was.

Why this works: the confirmation is read first, and the offset never decreases.

Evidence: found by reading; the window is short and was not caught in a run. The test places the end of the read there: PeerServerTest.testDigestNamesAnOffsetThatItsConfirmationCovers; without the fix "expected 2 but was 1".

--- a/daemon/src/main/java/org/kumquatplank/daemon/PeerServer.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/PeerServer.java
@@ -98,13 +98,15 @@
 
   /** Returns the digest of this instance that is sent to its peers. */
   Digest digest() {
+    // The offset must cover the confirmation, so the confirmation is read first.
+    long confirmationAgeMillis = confirmationAgeMillis();
     ControlSnapshot snapshot = state.snapshot();
     Digest.Builder digest =
         Digest.newBuilder()
             .setInstance(self)
             .setConfigVersion(snapshot.configuration().version())
             .setConfigNextOffset(snapshot.configNextOffset())
-            .setProofAgeMillis(confirmationAgeMillis())
+            .setProofAgeMillis(confirmationAgeMillis)
             .setLogReachable(freshness.logReachable())
             .setDraining(draining.getAsBoolean());
     digest.addAllSuspects(controlThread.call(state::ownSuspects));
