Do not deny the first attempt of a call when the configuration turns stale

What callers saw: stale_configuration with "not_run" for a call to a plain service that a server had received. The API promises for not_run that no backend server received the work.

Cause: ServiceCallHandler.runIdempotent asks the gate before each attempt, and the gate's rejection always says not_run.

Why this works: the rejection carries the status of the earlier attempts.

Test: ServiceCallHandlerTest.testStaleConfigurationBeforeARetryDoesNotHideTheFirstAttempt; without the fix "expected UNKNOWN but was NOT_RUN".

--- a/daemon/src/main/java/org/kumquatplank/daemon/ServiceCallHandler.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ServiceCallHandler.java
@@ -208,6 +208,20 @@
     }
   }
 
+  /**
+   * Returns whether the server accepts new requests.
+   *
+   * @param earlierAttempts what the earlier attempts of the call may have done
+   * @throws RouterException if there is no configuration or it may be outdated
+   */
+  private boolean acceptsRequests(String server, ExecutionStatus earlierAttempts) {
+    try {
+      return gate.acceptsRequests(server);
+    } catch (RouterException e) {
+      throw RouterException.of(e.code(), earlierAttempts, e.getMessage(), e);
+    }
+  }
+
   private static Outcome outcomeOf(FullResponse reply, String requestId) {
     boolean matches = reply.headers().first("Request-Id").filter(requestId::equals).isPresent();
     if (!matches) {
@@ -241,7 +255,7 @@
     for (int i = 0; i < MAX_ATTEMPTS && Instant.now().isBefore(deadline); i++) {
       Optional<ListedInstance> server =
           pool.select(snapshots.get().instances().serversOf(call.service().name()), tried);
-      if (server.isEmpty() || !gate.acceptsRequests(server.get().id())) {
+      if (server.isEmpty() || !acceptsRequests(server.get().id(), executionStatus)) {
         break;
       }
       tried.add(server.get().id());
