Do not deny the first version of a cascade when the second is not sent

What callers saw: "not_run" for a request whose first version had run and was charged, when the configuration turned stale, or the version or its engine was withdrawn, before the second version was sent.

Cause: each version of a cascade has its own Generation, and a failure before the dispatch of the second one says not_run. A rejection by the router was handled, but only if the first version had generated a token.

Why this works: ChatExecution remembers whether any version was dispatched, and a failure that says not_run says ran after that.

Test: ChatExecutionTest.testStaleConfigurationBeforeTheSecondVersionDoesNotHideTheFirst; without the fix "expected RAN but was NOT_RUN".

--- a/daemon/src/main/java/org/kumquatplank/daemon/ChatExecution.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ChatExecution.java
@@ -32,6 +32,7 @@
   private long tokens;
   private long costMicros;
   private long firstTokenAt;
+  private boolean dispatched;
 
   ChatExecution(
       ChatDependencies dependencies,
@@ -77,10 +78,8 @@
   }
 
   private RouterException rejection(Action.Reject refuse) {
-    return tokens > 0
-        ? RouterException.of(refuse.code(), ExecutionStatus.RAN, refuse.reason(), null)
-        : RouterException.notRunUntil(
-            refuse.code(), toWallTime(refuse.retryAtMicros()), refuse.reason());
+    return RouterException.notRunUntil(
+        refuse.code(), toWallTime(refuse.retryAtMicros()), refuse.reason());
   }
 
   private Instant toWallTime(long micros) {
@@ -106,8 +105,9 @@
       dependencies.requestLog().served(entry());
     } catch (RouterException e) {
       settleCutShort();
-      dependencies.requestLog().failed(entry(), e);
-      throw e;
+      RouterException failure = withEarlierVersion(e);
+      dependencies.requestLog().failed(entry(), failure);
+      throw failure;
     } catch (Generation.CallerGoneException e) {
       settleCutShort();
       RouterException gone =
@@ -118,6 +118,13 @@
     }
   }
 
+  /** Returns the failure, which must not deny that the first version of a cascade ran. */
+  private RouterException withEarlierVersion(RouterException e) {
+    return dispatched && e.executionStatus() == ExecutionStatus.NOT_RUN
+        ? RouterException.of(e.code(), ExecutionStatus.RAN, e.getMessage(), e)
+        : e;
+  }
+
   private Action.Send awaitStart(DelayListener delays) {
     Action action = firstAction;
     while (!(action instanceof Action.Send)) {
@@ -221,6 +228,7 @@
     } finally {
       dependencies.router().finished(generationRequest, generation.tokens(), complete);
       tokens += generation.tokens();
+      dispatched |= generation.dispatched();
       if (generation.dispatched()) {
         costMicros += costOf(start.plan().firstVersion(), generation.tokens());
       }
