Judge credentials only by a fresh configuration

What callers saw: 401 credential_wrong for a new key at an instance that was cut off and had not heard of it, instead of 503 stale_configuration, which tells them to use another address. /v1/models answered a revoked key at such an instance.

Cause: CallerApi authenticated by the configuration at hand; only chat and service calls asked whether it is fresh, and only after that.

Why this works: every path that needs a credential first requires a fresh configuration.

Test: CallerApiTest.testStaleInstanceDoesNotJudgeCredentials; without the fix "expected STALE_CONFIGURATION but was CREDENTIAL_WRONG".

--- a/daemon/src/main/java/org/kumquatplank/daemon/CallerApi.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/CallerApi.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.kumquatplank.core.config.ClientAccount;
-import org.kumquatplank.core.config.Configuration;
 import org.kumquatplank.core.error.ErrorCode;
 import org.kumquatplank.core.error.RouterException;
 import org.kumquatplank.core.membership.ListedInstance;
@@ -23,6 +22,7 @@
   private static final String SERVICES_PREFIX = "/v1/services/";
 
   private final Supplier<ControlSnapshot> snapshots;
+  private final DispatchGate gate;
   private final ChatService chat;
   private final ServiceCallHandler serviceCalls;
   private final Drain drain;
@@ -31,12 +31,14 @@
 
   CallerApi(
       Supplier<ControlSnapshot> snapshots,
+      DispatchGate gate,
       ChatService chat,
       ServiceCallHandler serviceCalls,
       Drain drain,
       String self,
       Duration addressLifetime) {
     this.snapshots = snapshots;
+    this.gate = gate;
     this.chat = chat;
     this.serviceCalls = serviceCalls;
     this.drain = drain;
@@ -59,12 +61,7 @@
       requireMethod(request, "GET");
       return addresses(request.parameter("region").orElse(""));
     }
-    Configuration configuration = snapshots.get().configuration();
-    if (configuration.version() == 0) {
-      throw RouterException.notRun(
-          ErrorCode.NOT_READY, "this instance has no configuration yet; use another address");
-    }
-    ClientAccount account = Authentication.authenticate(configuration, request);
+    ClientAccount account = Authentication.authenticate(gate.requireFreshConfiguration(), request);
     if (request.path().equals("/v1/chat/completions")) {
       requireMethod(request, "POST");
       return chat.handle(account, request);
--- a/daemon/src/main/java/org/kumquatplank/daemon/Node.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/Node.java
@@ -116,11 +116,7 @@
         new Gossip(self, link, server, control, state, freshness, System::nanoTime, executor),
         monitor,
         log);
-    callerListener =
-        listen(
-            settings.listen(),
-            new CallerApi(
-                state::snapshot, chat, serviceCalls, drain, self, settings.addressLifetime()));
+    callerListener = listen(settings.listen(), createCallerApi(gate, chat, serviceCalls));
     adminListener = listen(settings.adminListen(), createAdminApi(log, startDrain));
   }
 
@@ -160,6 +156,18 @@
         Sleeper.system());
   }
 
+  private CallerApi createCallerApi(
+      DispatchGate gate, ChatService chat, ServiceCallHandler serviceCalls) {
+    return new CallerApi(
+        state::snapshot,
+        gate,
+        chat,
+        serviceCalls,
+        drain,
+        settings.instance(),
+        settings.addressLifetime());
+  }
+
   private AdminApi createAdminApi(EventLog log, Runnable startDrain) {
     String self = settings.instance();
     return new AdminApi(
