Keep the open bills of a peer that is not in the list yet

What operators would see: a response that a caller received whole is billed as that of a lost instance, at zero cost.

Cause: a new instance may find this one in the list and use it as a backup before this one finds the new instance there (the list is read every 500 ms, and may lag). Housekeeping then took the sender of the open bill for lost, settled the bill as INSTANCE_LOST, and the final bill was acknowledged but dropped as already known; in the log the first bill of an id counts.

Why this works: a peer counts as live for 10 s after each of its frames, as it does after it was last listed.

Evidence: found by reading; how often it happens was not measured.

--- a/daemon/src/main/java/org/kumquatplank/daemon/BillBackups.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/BillBackups.java
@@ -103,7 +103,16 @@
   }
 
   /**
-   * Returns the instances that are listed or connected now, or were until recently.
+   * Records that a peer sent a frame.
+   *
+   * <p>A peer that has just started may send bills before this instance finds it in the list.
+   */
+  synchronized void recordHeard(String peer) {
+    lastSeen.put(peer, Instant.now());
+  }
+
+  /**
+   * Returns the instances that are listed, connected or heard now, or were until recently.
    *
    * <p>An instance that left recently may still settle its bills.
    */
--- a/daemon/src/main/java/org/kumquatplank/daemon/Node.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/Node.java
@@ -94,9 +94,7 @@
     RatingClient ratings = RatingClient.create(platformClient, platform);
     demotionLog = new DemotionLog(log, control, state);
     RatingCollector collector = createRatingCollector(ratings);
-    PeerServer server =
-        new PeerServer(
-            self, control, state, freshness, store, pending, tracker, collector, drain::isDraining);
+    PeerServer server = createPeerServer(store, collector);
     Settings.Endpoint peerListen = settings.peerListen();
     link = PeerLinks.open(self, secret, peerListen.host(), peerListen.port(), server);
     billBackups.setLink(link);
@@ -120,6 +118,20 @@
     adminListener = listen(settings.adminListen(), createAdminApi(log, startDrain));
   }
 
+  private PeerServer createPeerServer(LogClaimStore store, RatingCollector collector) {
+    return new PeerServer(
+        settings.instance(),
+        control,
+        state,
+        freshness,
+        store,
+        pending,
+        tracker,
+        billBackups,
+        collector,
+        drain::isDraining);
+  }
+
   private RatingCollector createRatingCollector(RatingClient ratings) {
     return new RatingCollector(
         ratings,
--- a/daemon/src/main/java/org/kumquatplank/daemon/PeerServer.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/PeerServer.java
@@ -33,6 +33,7 @@
   private final ClaimStore store;
   private final PendingBills pendingBills;
   private final BillTracker billTracker;
+  private final BillBackups billBackups;
   private final RatingCollector ratingCollector;
   private final BooleanSupplier draining;
 
@@ -44,6 +45,7 @@
       ClaimStore store,
       PendingBills pendingBills,
       BillTracker billTracker,
+      BillBackups billBackups,
       RatingCollector ratingCollector,
       BooleanSupplier draining) {
     this.self = self;
@@ -53,12 +55,14 @@
     this.store = store;
     this.pendingBills = pendingBills;
     this.billTracker = billTracker;
+    this.billBackups = billBackups;
     this.ratingCollector = ratingCollector;
     this.draining = draining;
   }
 
   @Override
   public Frame.Builder handle(String peer, Frame frame) {
+    billBackups.recordHeard(peer);
     return switch (frame.getBodyCase()) {
       case DIGEST -> {
         recordDigest(peer, frame.getDigest());
