--- a/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ConfigFollower.java
@@ -9,6 +9,8 @@
 import org.kumquatplank.core.log.LogException;
 import org.kumquatplank.core.log.LogPage;
 import org.kumquatplank.core.membership.RendezvousHashing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the configuration stream as it grows, and appends snapshots to it.
@@ -17,6 +19,8 @@
  * Runs on its own thread.
  */
 final class ConfigFollower implements Runnable {
+  private static final Logger LOG = LoggerFactory.getLogger(ConfigFollower.class);
+
   /** Name of the configuration stream. */
   static final String STREAM = "config";
 
@@ -58,26 +62,40 @@
   public void run() {
     while (!stopped) {
       try {
-        long startedAt = nanoTime.getAsLong();
-        long from = state.snapshot().configNextOffset();
-        LogPage page = log.read(STREAM, from, Instant.now().plus(LONG_POLL_TIMEOUT));
-        boolean complete =
-            controlThread.call(
-                () -> {
-                  state.applyPage(page);
-                  return state.snapshot().configComplete();
-                });
-        if (page.reachesEnd() && complete) {
-          freshness.confirmByLog(startedAt);
-        }
-        appendSnapshotIfDue(page);
+        readOnce();
       } catch (LogException e) {
         freshness.recordLogFailure();
         pause();
+      } catch (RuntimeException e) {
+        logUnlessStopped(e);
+        pause();
       }
     }
   }
 
+  private void readOnce() {
+    long startedAt = nanoTime.getAsLong();
+    long from = state.snapshot().configNextOffset();
+    LogPage page = log.read(STREAM, from, Instant.now().plus(LONG_POLL_TIMEOUT));
+    freshness.recordLogRead();
+    boolean complete =
+        controlThread.call(
+            () -> {
+              state.applyPage(page);
+              return state.snapshot().configComplete();
+            });
+    if (page.reachesEnd() && complete) {
+      freshness.confirmByLog(startedAt);
+    }
+    appendSnapshotIfDue(page);
+  }
+
+  private void logUnlessStopped(RuntimeException e) {
+    if (!stopped) {
+      LOG.error("cannot follow the configuration stream", e);
+    }
+  }
+
   private void appendSnapshotIfDue(LogPage page) {
     for (var record : page.records()) {
       boolean isSnapshot =
@@ -87,14 +105,16 @@
       lastSnapshotOffset = isSnapshot ? record.offset() : lastSnapshotOffset;
     }
     ControlSnapshot snapshot = state.snapshot();
-    boolean due = snapshot.configNextOffset() - lastSnapshotOffset >= SNAPSHOT_INTERVAL_RECORDS;
+    boolean due =
+        page.firstRetained() > lastSnapshotOffset
+            || snapshot.configNextOffset() - lastSnapshotOffset >= SNAPSHOT_INTERVAL_RECORDS;
     if (!due || !snapshot.configComplete() || !isSnapshotWriter(snapshot)) {
       return;
     }
     ConfigEntry entry =
         new ConfigEntry.Snapshot(snapshot.configuration(), snapshot.configNextOffset());
-    log.append(STREAM, ConfigCodec.toJson(entry), Instant.now().plus(APPEND_TIMEOUT));
-    lastSnapshotOffset = snapshot.configNextOffset();
+    lastSnapshotOffset =
+        log.append(STREAM, ConfigCodec.toJson(entry), Instant.now().plus(APPEND_TIMEOUT));
   }
 
   /**
--- a/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
@@ -91,17 +91,25 @@
   /** Applies a page of the configuration stream. */
   void applyPage(LogPage page) {
     Configuration previous = reducer.current();
+    reducer.markMissingBefore(page.firstRetained());
     for (LogRecord record : page.records()) {
       Optional<ConfigEntry> entry = ConfigCodec.fromJson(record.text());
-      entry.ifPresent(e -> applyEntry(record.offset(), e));
+      entry.ifPresentOrElse(e -> applyEntry(record.offset(), e), () -> skipRecord(record.offset()));
     }
     onConfigurationApplied(previous);
   }
 
+  private void skipRecord(long offset) {
+    reducer.skip(offset);
+    LOG.warn("malformed record in stream {} at offset {}", ConfigFollower.STREAM, offset);
+  }
+
   private void applyEntry(long offset, ConfigEntry entry) {
     ConfigReducer.ApplyResult result = reducer.apply(offset, entry);
-    if (entry instanceof ConfigEntry.Change change
-        && result != ConfigReducer.ApplyResult.NO_EFFECT) {
+    boolean decided =
+        result == ConfigReducer.ApplyResult.ACCEPTED
+            || result == ConfigReducer.ApplyResult.CONFLICT;
+    if (decided && entry instanceof ConfigEntry.Change change) {
       verdicts.putIfAbsent(change.nonce(), result);
     }
   }
--- a/daemon/src/main/java/org/kumquatplank/daemon/Node.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/Node.java
@@ -94,9 +94,7 @@
     RatingClient ratings = RatingClient.create(platformClient, platform);
     demotionLog = new DemotionLog(log, control, state);
     RatingCollector collector = createRatingCollector(ratings);
-    PeerServer server =
-        new PeerServer(
-            self, control, state, freshness, store, pending, tracker, collector, drain::isDraining);
+    PeerServer server = createPeerServer(store, collector);
     Settings.Endpoint peerListen = settings.peerListen();
     link = PeerLinks.open(self, secret, peerListen.host(), peerListen.port(), server);
     billBackups.setLink(link);
@@ -116,14 +114,24 @@
         new Gossip(self, link, server, control, state, freshness, System::nanoTime, executor),
         monitor,
         log);
-    callerListener =
-        listen(
-            settings.listen(),
-            new CallerApi(
-                state::snapshot, chat, serviceCalls, drain, self, settings.addressLifetime()));
+    callerListener = listen(settings.listen(), createCallerApi(gate, chat, serviceCalls));
     adminListener = listen(settings.adminListen(), createAdminApi(log, startDrain));
   }
 
+  private PeerServer createPeerServer(LogClaimStore store, RatingCollector collector) {
+    return new PeerServer(
+        settings.instance(),
+        control,
+        state,
+        freshness,
+        store,
+        pending,
+        tracker,
+        billBackups,
+        collector,
+        drain::isDraining);
+  }
+
   private RatingCollector createRatingCollector(RatingClient ratings) {
     return new RatingCollector(
         ratings,
@@ -160,6 +168,18 @@
         Sleeper.system());
   }
 
+  private CallerApi createCallerApi(
+      DispatchGate gate, ChatService chat, ServiceCallHandler serviceCalls) {
+    return new CallerApi(
+        state::snapshot,
+        gate,
+        chat,
+        serviceCalls,
+        drain,
+        settings.instance(),
+        settings.addressLifetime());
+  }
+
   private AdminApi createAdminApi(EventLog log, Runnable startDrain) {
     String self = settings.instance();
     return new AdminApi(
--- a/daemon/src/main/java/org/kumquatplank/daemon/PeerServer.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/PeerServer.java
@@ -33,6 +33,7 @@
   private final ClaimStore store;
   private final PendingBills pendingBills;
   private final BillTracker billTracker;
+  private final BillBackups billBackups;
   private final RatingCollector ratingCollector;
   private final BooleanSupplier draining;
 
@@ -44,6 +45,7 @@
       ClaimStore store,
       PendingBills pendingBills,
       BillTracker billTracker,
+      BillBackups billBackups,
       RatingCollector ratingCollector,
       BooleanSupplier draining) {
     this.self = self;
@@ -53,12 +55,14 @@
     this.store = store;
     this.pendingBills = pendingBills;
     this.billTracker = billTracker;
+    this.billBackups = billBackups;
     this.ratingCollector = ratingCollector;
     this.draining = draining;
   }
 
   @Override
   public Frame.Builder handle(String peer, Frame frame) {
+    billBackups.recordHeard(peer);
     return switch (frame.getBodyCase()) {
       case DIGEST -> {
         recordDigest(peer, frame.getDigest());
@@ -98,13 +102,15 @@
 
   /** Returns the digest of this instance that is sent to its peers. */
   Digest digest() {
+    // The offset must cover the confirmation, so the confirmation is read first.
+    long confirmationAgeMillis = confirmationAgeMillis();
     ControlSnapshot snapshot = state.snapshot();
     Digest.Builder digest =
         Digest.newBuilder()
             .setInstance(self)
             .setConfigVersion(snapshot.configuration().version())
             .setConfigNextOffset(snapshot.configNextOffset())
-            .setProofAgeMillis(confirmationAgeMillis())
+            .setProofAgeMillis(confirmationAgeMillis)
             .setLogReachable(freshness.logReachable())
             .setDraining(draining.getAsBoolean());
     digest.addAllSuspects(controlThread.call(state::ownSuspects));
