Let an instance that is behind its peers read for itself

Cause: an instance relied on the updates of one peer for 2.2 s after the last of them, and on an offset that it could not check, although the digests of all peers name their version of the configuration.

Why this works: after 0.4 s with a peer's newer version, an instance whose offset is below the peer's reads, and one whose offset is not below it has lost a change and lists the topic anew. Both go on by peers' updates afterwards.

StoreFollowerTest.testInstanceThatLostAChangeListsTheTopicAnew and testInstanceWhosePeerHasLaterChangesReads fail without the two reactions (nothing read within 8 s).

--- a/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
@@ -51,6 +51,11 @@
     return gap;
   }
 
+  /** Records that a peer has applied later changes. */
+  public void markGap() {
+    gap = true;
+  }
+
   /** Records that a listing of the newest records has begun. */
   public void beginListing() {
     listing = true;
--- a/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
@@ -1,5 +1,6 @@
 package org.kumquatplank.edge;
 
+import java.util.OptionalLong;
 import org.kumquatplank.link.proto.EdgeDigest;
 
 /**
@@ -11,6 +12,9 @@
   /** A newer configuration that a peer names is usually under way to this instance. */
   private static final long REPORT_AFTER_MICROS = 1_000_000;
 
+  /** Longer than an update takes that is under way to this instance. */
+  private static final long CATCH_UP_AFTER_MICROS = 400_000;
+
   private static final long REPORT_INTERVAL_MICROS = 2_000_000;
   private static final long NOT_BEHIND = Long.MAX_VALUE;
 
@@ -33,6 +37,16 @@
     }
   }
 
+  /** Returns the offset of a peer that has had a newer configuration for a while, if any. */
+  OptionalLong newerPeerOffset(long ownVersion, long now) {
+    if (newest.getCatalogVersion() <= ownVersion) {
+      behindSince = NOT_BEHIND;
+    }
+    return behindSince != NOT_BEHIND && now - behindSince > CATCH_UP_AFTER_MICROS
+        ? OptionalLong.of(newest.getOperatorOffset())
+        : OptionalLong.empty();
+  }
+
   /**
    * Updates the metrics, and reports a configuration that has been older than a peer's for a while.
    *
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -44,6 +44,7 @@
   private long lastConfirmedAt = Clock.micros();
   private boolean failing;
   private boolean following;
+  private boolean listingRequested;
   private String lastSource = STORE_SOURCE;
 
   StoreFollower(
@@ -100,6 +101,22 @@
     return new Status(cursor.nextOffset(), lastConfirmedAt, lastSource, following);
   }
 
+  /**
+   * Reads what this instance lacks, although a peer may be reading the topic for it.
+   *
+   * <p>If this instance has passed the offset of the peer, a change was lost below it, and the
+   * topic is listed anew.
+   *
+   * @param peerOffset offset of a peer that has a newer state
+   */
+  void catchUp(long peerOffset) {
+    if (peerOffset > cursor.nextOffset()) {
+      cursor.markGap();
+    } else {
+      listingRequested = true;
+    }
+  }
+
   /** Returns the peer that reads the topic for this instance, if any. */
   Optional<String> reader() {
     return election.reader(Clock.micros());
@@ -107,6 +124,7 @@
 
   private void readSnapshot() {
     cursor.beginListing();
+    listingRequested = false;
     store
         .readNewest(topic.name())
         .whenComplete(
@@ -129,7 +147,9 @@
     if (reader && following) {
       setFollowing(false, STORE_SOURCE);
     }
-    if (cursor.hasGap() || reader) {
+    if (listingRequested) {
+      readSnapshot();
+    } else if (cursor.hasGap() || reader) {
       read();
     } else {
       loop.schedule(this::readIfElected, ELECTION_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/edge/src/test/java/org/kumquatplank/edge/StalenessMonitorTest.java
@@ -0,0 +1,35 @@
+package org.kumquatplank.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import org.kumquatplank.link.proto.EdgeDigest;
+
+class StalenessMonitorTest {
+  private static final long SECOND = 1_000_000;
+
+  private final StalenessMonitor monitor = new StalenessMonitor(new EdgeMetrics());
+
+  private static EdgeDigest digest(long version, long offset) {
+    return EdgeDigest.newBuilder()
+        .setInstance("a")
+        .setCatalogVersion(version)
+        .setOperatorOffset(offset)
+        .build();
+  }
+
+  @Example
+  void testNamesThePeerThatHasHadANewerConfigurationForAWhile() {
+    monitor.onDigest(digest(40, 9), 33, SECOND);
+    assertThat(monitor.newerPeerOffset(33, SECOND + 100_000)).isEmpty();
+    assertThat(monitor.newerPeerOffset(33, 2 * SECOND)).hasValue(9);
+  }
+
+  @Example
+  void testNamesNoPeerOnceTheConfigurationHasArrived() {
+    monitor.onDigest(digest(40, 9), 33, SECOND);
+    assertThat(monitor.newerPeerOffset(40, 2 * SECOND)).isEmpty();
+    monitor.onDigest(digest(38, 8), 40, 3 * SECOND);
+    assertThat(monitor.newerPeerOffset(40, 4 * SECOND)).isEmpty();
+  }
+}
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -32,11 +32,12 @@
     private final List<String> changes = Collections.synchronizedList(new ArrayList<>());
     private final List<TopicUpdate<StoreRecord>> confirmed =
         Collections.synchronizedList(new ArrayList<>());
-    private volatile boolean snapshotReceived;
+    private final List<List<StoreRecord>> snapshots =
+        Collections.synchronizedList(new ArrayList<>());
 
     @Override
     public void onSnapshot(List<StoreRecord> records) {
-      snapshotReceived = true;
+      snapshots.add(records);
     }
 
     @Override
@@ -77,7 +78,7 @@
       ReaderElection election = ReaderElection.create("b", FRESH_MICROS);
       follower = new StoreFollower(loop, client, topic, election, listener);
       loop.execute(follower::start);
-      await(() -> listener.snapshotReceived);
+      await(() -> !listener.snapshots.isEmpty());
     }
 
     void receive(String sender, long from, long next, StoreRecord... records) {
@@ -212,4 +213,25 @@
       await(() -> f.listener.changes.contains("k=revoked"));
     }
   }
+
+  @Example
+  void testInstanceThatLostAChangeListsTheTopicAnew() throws IOException {
+    try (Fixture f = new Fixture()) {
+      f.receive("a", 0, 1);
+      f.store.put("t", "k", "revoked");
+      f.loop.submit(() -> f.follower.catchUp(1)).syncUninterruptibly();
+      await(() -> f.listener.snapshots.size() == 2);
+      assertThat(f.listener.snapshots.get(1)).extracting(StoreRecord::key).containsExactly("k");
+    }
+  }
+
+  @Example
+  void testInstanceWhosePeerHasLaterChangesReads() throws IOException {
+    try (Fixture f = new Fixture()) {
+      f.receive("a", 0, 0);
+      f.store.put("t", "k", "revoked");
+      f.loop.submit(() -> f.follower.catchUp(1)).syncUninterruptibly();
+      await(() -> f.listener.changes.contains("k=revoked"));
+    }
+  }
 }
