Answer 503 for an unknown key or route while the configuration is outdated

What callers saw: proper requests with keys or on routes that had been added got 401 or 404, which callers do not repeat, from instances that were behind.

Cause: 401 and 404 were answered by whatever configuration an instance held, however old. An instance to which the store has not confirmed its configuration within the time in which changes take effect can't know that.

Why this works: after bounds.config_propagation_ms without a confirmation such a request gets 503 with a short Retry-After, which says that it did not run; an instance that is current answers the retry. Keys that the instance knows are served as before, since an outage of the store must not stop service. The line "refused" tells the age.

EntryTest.testUnknownKeyAndRouteAreNotRejectedAsWrongByAnOutdatedConfiguration failed before (404 for 8 s).

--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -106,7 +106,8 @@
       CallerConnection connection, CallerRequestHead head, byte[] body, Catalog catalog, long now) {
     Optional<Route> route = catalog.route(head.host(), head.path());
     if (route.isEmpty()) {
-      reject(connection, head, LocalResponse.UNKNOWN_ROUTE, "no route for this host and path");
+      rejectUnknown(
+          connection, head, LocalResponse.UNKNOWN_ROUTE, "no route for this host and path", now);
       return Optional.empty();
     }
     if (head.attemptId().isEmpty()) {
@@ -115,7 +116,8 @@
     }
     Optional<CredentialOwner> credential = head.credential().flatMap(catalog::credentialOwner);
     if (catalog.requiresCredentials() && credential.isEmpty() && !route.get().allowsAnonymous()) {
-      reject(connection, head, LocalResponse.UNKNOWN_KEY, "the credential is not known");
+      rejectUnknown(
+          connection, head, LocalResponse.UNKNOWN_KEY, "the credential is not known", now);
       return Optional.empty();
     }
     DispatchRequest request = dispatchRequest(head, route.get(), credential, now);
@@ -155,6 +157,21 @@
         connection, head.attemptId(), LocalResponse.NOT_RUN, OptionalDouble.of(retryAfter), reason);
   }
 
+  /** A newer configuration may have what an outdated one lacks. */
+  private void rejectUnknown(
+      CallerConnection connection,
+      CallerRequestHead head,
+      LocalResponse answer,
+      String reason,
+      long now) {
+    if (dispatcher.isCatalogOutdated(now)) {
+      String outdated = reason + ", but the configuration is not confirmed to be current";
+      rejectNotRun(connection, head, NOT_READY_RETRY_SECONDS, outdated);
+    } else {
+      reject(connection, head, answer, reason);
+    }
+  }
+
   private void reject(
       CallerConnection connection, CallerRequestHead head, LocalResponse answer, String reason) {
     respond(connection, head.attemptId(), answer, OptionalDouble.empty(), reason);
@@ -172,6 +189,7 @@
         .addKeyValue("status", answer.status())
         .addKeyValue("reason", reason)
         .addKeyValue("catalog", dispatcher.catalog().map(Catalog::version).orElse(-1L))
+        .addKeyValue("catalog_age_ms", dispatcher.catalogAgeMicros(Clock.micros()) / 1_000)
         .log();
     connection.respond(CallerProtocol.localResponse(answer, id, retryAfter, reason));
   }
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -333,6 +333,7 @@
         live.stream().map(PeerDirectory.Peer::digest).filter(EdgeDigest::getReady).toList();
     dataPlane.setPeers(ready, 1 + live.size(), Map.copyOf(receivedLoads));
     receivedLoads.clear();
+    dataPlane.setCatalogConfirmedAt(operatorRecords.status().confirmedAt());
     staleness.newerPeerOffset(catalogVersion(), now).ifPresent(operatorRecords::catchUp);
     staleness.check(
         catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -159,6 +159,10 @@
     loop.execute(() -> dispatcher.setCatalog(catalog));
   }
 
+  void setCatalogConfirmedAt(long at) {
+    dispatcher.setCatalogConfirmedAt(at);
+  }
+
   void setServers(List<BackendServer> servers) {
     loop.execute(() -> dispatcher.setServers(servers));
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -57,6 +57,7 @@
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private Map<String, VersionRule> versionRules = Map.of();
   private Optional<Catalog> catalog = Optional.empty();
+  private volatile long catalogConfirmedAt = Clock.micros();
   private boolean serversKnown;
   private int liveInstances = 1;
   private Runnable onFirstExchange = () -> {};
@@ -93,6 +94,26 @@
     registry.setPeerLoads(peer, loads, Clock.micros());
   }
 
+  /**
+   * Sets when the store last confirmed the configuration, microseconds.
+   *
+   * <p>May be called from any thread.
+   */
+  void setCatalogConfirmedAt(long at) {
+    catalogConfirmedAt = at;
+  }
+
+  /** Returns the time since the store last confirmed the configuration, microseconds. */
+  long catalogAgeMicros(long now) {
+    return now - catalogConfirmedAt;
+  }
+
+  /** Returns whether a newer configuration may be in force by now. */
+  boolean isCatalogOutdated(long now) {
+    long maxAgeMicros = settings.limits().configPropagationMillis() * MICROS_PER_MILLI;
+    return catalogAgeMicros(now) > maxAgeMicros;
+  }
+
   Optional<Catalog> catalog() {
     return catalog;
   }
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -59,7 +59,7 @@
             freeAddress().getPort(),
             List.of(),
             store.address(),
-            new EdgeSettings.Limits(0.9, 50, 10_000, 8_000, 5));
+            new EdgeSettings.Limits(0.9, 50, 10_000, 8_000, 5, 3_000));
     dataPlane = new DataPlane(settings, trafficLoop);
   }
 
--- a/edge/src/test/java/org/kumquatplank/edge/EntryTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EntryTest.java
@@ -78,9 +78,29 @@
     }
   }
 
+  /** The key or route may have been added since the store was last heard of. */
+  @Example
+  void testUnknownKeyAndRouteAreNotRejectedAsWrongByAnOutdatedConfiguration() throws IOException {
+    try (EdgeFixture edge = EdgeFixture.start(r -> GOOD)) {
+      edge.store().setFault(FakeStore.Fault.DOWN);
+      edge.await(() -> statusOf(edge, "/none/x") == 503);
+      String otherKey =
+          EdgeFixture.head("GET", "/read/x", "b", "Connection: close\r\n")
+              .replace("key-1", "key-9");
+      assertThat(EdgeFixture.status(edge.sendRaw(otherKey))).isEqualTo(503);
+      assertThat(EdgeFixture.status(edge.send("GET", "/read/x", "c", ""))).isEqualTo(200);
+      edge.store().setFault(FakeStore.Fault.NONE);
+      edge.await(() -> statusOf(edge, "/none/x") == 404);
+    }
+  }
+
   private static int statusOf(EdgeFixture edge) {
+    return statusOf(edge, "/read/x");
+  }
+
+  private static int statusOf(EdgeFixture edge, String path) {
     try {
-      return EdgeFixture.status(edge.send("GET", "/read/x", "poll", ""));
+      return EdgeFixture.status(edge.send("GET", path, "poll", ""));
     } catch (IOException e) {
       return 0;
     }
