Send updates only from the elected reader

What callers could see: changes of the configuration that arrive late at instances with narrow links.

Cause: an instance that only filled a gap also sent what it had read to all peers of its region.

Why this works: peers have a reader whose updates they follow; who has none is elected itself.

--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -89,7 +89,7 @@
     /** Called when the store responds again after an outage of that length, microseconds. */
     void onRecovered(long outageMicros);
 
-    /** Called after each successful read, whose result can be sent to peers. */
+    /** Called after each successful read of the elected reader, to send its result to peers. */
     void onConfirmed(TopicUpdate<StoreRecord> update);
   }
 
@@ -181,12 +181,19 @@
               onReadSucceeded();
               TopicUpdate<StoreRecord> read =
                   new TopicUpdate<>(from, page.nextOffset(), page.records());
-              runLoggingFailures(
-                  () -> listener.onConfirmed(cursor.onRead(read, r -> apply(r, STORE_SOURCE))));
+              runLoggingFailures(() -> onRead(read));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
   }
 
+  /** Peers receive the updates of the reader; others only read what they lack themselves. */
+  private void onRead(TopicUpdate<StoreRecord> read) {
+    TopicUpdate<StoreRecord> update = cursor.onRead(read, r -> apply(r, STORE_SOURCE));
+    if (election.isReader(Clock.micros())) {
+      listener.onConfirmed(update);
+    }
+  }
+
   private List<StoreRecord> apply(List<StoreRecord> records, String source) {
     lastSource = source;
     return listener.onChanges(records);
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -158,6 +158,19 @@
     }
   }
 
+  /** With many instances, a datagram of each to each other would fill their links. */
+  @Example
+  void testInstanceThatOnlyFillsAGapSendsNoUpdate() throws IOException {
+    try (Fixture f = new Fixture()) {
+      f.receive("a", 0, 0);
+      f.store.put("t", "k", "1");
+      f.loop.submit(() -> f.follower.catchUp(1)).syncUninterruptibly();
+      await(() -> f.listener.changes.contains("k=1"));
+      f.loop.submit(() -> {}).syncUninterruptibly();
+      assertThat(f.listener.confirmed).noneMatch(u -> u.next() > 0);
+    }
+  }
+
   @Example
   void testInstanceWithoutAccessToTheStoreReceivesChangesFromPeers() throws IOException {
     try (Fixture f = new Fixture()) {
