Catch up with a newer configuration of a peer at most every two seconds

An instance that can't read the configuration that a peer names, such as one of an older build during an upgrade, would have listed the topic every 0.3 s (found when reading the change). StalenessMonitorTest. testAsksToCatchUpOnceInTwoSeconds failed before: an offset was returned at each check.

--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -334,7 +334,7 @@
     dataPlane.setPeers(ready, 1 + live.size(), Map.copyOf(receivedLoads));
     receivedLoads.clear();
     dataPlane.setCatalogConfirmedAt(operatorRecords.status().confirmedAt());
-    staleness.newerPeerOffset(catalogVersion(), now).ifPresent(operatorRecords::catchUp);
+    staleness.catchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::catchUp);
     staleness.check(
         catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
@@ -15,6 +15,9 @@
   /** Longer than an update takes that is under way to this instance. */
   private static final long CATCH_UP_AFTER_MICROS = 400_000;
 
+  /** A peer may have a configuration that this instance can't read; reading again does not help. */
+  private static final long CATCH_UP_INTERVAL_MICROS = 2_000_000;
+
   private static final long REPORT_INTERVAL_MICROS = 2_000_000;
   private static final long NOT_BEHIND = Long.MAX_VALUE;
 
@@ -22,6 +25,7 @@
   private final LogThrottle throttle = LogThrottle.create(REPORT_INTERVAL_MICROS);
   private EdgeDigest newest = EdgeDigest.newBuilder().setCatalogVersion(-1).build();
   private long behindSince = NOT_BEHIND;
+  private long nextCatchUpAt = Long.MIN_VALUE;
 
   StalenessMonitor(EdgeMetrics metrics) {
     this.metrics = metrics;
@@ -37,14 +41,20 @@
     }
   }
 
-  /** Returns the offset of a peer that has had a newer configuration for a while, if any. */
-  OptionalLong newerPeerOffset(long ownVersion, long now) {
+  /**
+   * Returns the offset of a peer that has had a newer configuration for a while, if this instance
+   * is to catch up now.
+   */
+  OptionalLong catchUpOffset(long ownVersion, long now) {
     if (newest.getCatalogVersion() <= ownVersion) {
       behindSince = NOT_BEHIND;
     }
-    return behindSince != NOT_BEHIND && now - behindSince > CATCH_UP_AFTER_MICROS
-        ? OptionalLong.of(newest.getOperatorOffset())
-        : OptionalLong.empty();
+    boolean behind = behindSince != NOT_BEHIND && now - behindSince > CATCH_UP_AFTER_MICROS;
+    if (!behind || now < nextCatchUpAt) {
+      return OptionalLong.empty();
+    }
+    nextCatchUpAt = now + CATCH_UP_INTERVAL_MICROS;
+    return OptionalLong.of(newest.getOperatorOffset());
   }
 
   /**
--- a/edge/src/test/java/org/kumquatplank/edge/StalenessMonitorTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StalenessMonitorTest.java
@@ -21,15 +21,24 @@
   @Example
   void testNamesThePeerThatHasHadANewerConfigurationForAWhile() {
     monitor.onDigest(digest(40, 9), 33, SECOND);
-    assertThat(monitor.newerPeerOffset(33, SECOND + 100_000)).isEmpty();
-    assertThat(monitor.newerPeerOffset(33, 2 * SECOND)).hasValue(9);
+    assertThat(monitor.catchUpOffset(33, SECOND + 100_000)).isEmpty();
+    assertThat(monitor.catchUpOffset(33, 2 * SECOND)).hasValue(9);
   }
 
   @Example
   void testNamesNoPeerOnceTheConfigurationHasArrived() {
     monitor.onDigest(digest(40, 9), 33, SECOND);
-    assertThat(monitor.newerPeerOffset(40, 2 * SECOND)).isEmpty();
+    assertThat(monitor.catchUpOffset(40, 2 * SECOND)).isEmpty();
     monitor.onDigest(digest(38, 8), 40, 3 * SECOND);
-    assertThat(monitor.newerPeerOffset(40, 4 * SECOND)).isEmpty();
+    assertThat(monitor.catchUpOffset(40, 4 * SECOND)).isEmpty();
+  }
+
+  /** An instance that can't read the newer configuration would list the topic without end. */
+  @Example
+  void testAsksToCatchUpOnceInTwoSeconds() {
+    monitor.onDigest(digest(40, 9), 33, 0);
+    assertThat(monitor.catchUpOffset(33, SECOND)).isPresent();
+    assertThat(monitor.catchUpOffset(33, 2 * SECOND)).isEmpty();
+    assertThat(monitor.catchUpOffset(33, 3 * SECOND)).isPresent();
   }
 }
