Retry at a suspected backend server rather than at the one that failed

Cause: if an engine fails while every other engine of the version is suspected to be slow, Router.retry took the failed engine for the only one left and sent the request back to it. A suspicion lasts 1.5 s (0.6 s from a peer) and comes from one gap of 0.1 s between tokens or one first token after 0.6 s, so a busy machine is enough. All four tries then went to the engine whose streams break.

The new RouterTest holds the situation still: the retry went to "b", which had failed, instead of the suspected "a".

Fix: the last resort is now a suspected engine with a free slot, and only then the failed one. A suspicion is a guess about speed, a failure is not. Probation does not count here, because it would leave the failed engine again. A retry charged to the budget, which only moves a slow stream, still avoids suspected engines.

Tests: testRetryGoesToASuspectedBackendRatherThanTheOneThatFailed failed before (Optional[b], not "a"); testRetryStaysAtTheFailedBackendIfTheOtherIsFull passed before and after and keeps the old last resort.

--- a/core/src/main/java/org/kumquatplank/core/routing/BackendTable.java
+++ b/core/src/main/java/org/kumquatplank/core/routing/BackendTable.java
@@ -97,7 +97,7 @@
     return !backendsOf(version).isEmpty();
   }
 
-  boolean serves(String backend, String version) {
+  private boolean serves(String backend, String version) {
     return backendsOf(version).stream().anyMatch(e -> e.id().equals(backend));
   }
 
@@ -126,9 +126,28 @@
    */
   Optional<String> select(
       String version, RoutingRequest request, boolean longRequest, String excluded, long now) {
+    return choose(version, request, excluded, isAvailable(longRequest, now));
+  }
+
+  /**
+   * Selects the backend server of a retry for which {@link #select} finds none: a suspected one
+   * with a free slot, or else the one that failed, because only its connection may have failed.
+   *
+   * @param failed identity of the backend server that failed
+   */
+  Optional<String> selectLastResort(String version, RoutingRequest request, String failed) {
+    return choose(version, request, failed, e -> load(e.id()) < slotsOf(e.id()))
+        .or(() -> serves(failed, version) ? Optional.of(failed) : Optional.empty());
+  }
+
+  private Optional<String> choose(
+      String version,
+      RoutingRequest request,
+      String excluded,
+      Predicate<ListedInstance> condition) {
     List<ListedInstance> available =
         backendsOf(version).stream()
-            .filter(isAvailable(longRequest, now))
+            .filter(condition)
             .filter(e -> !e.id().equals(excluded))
             .toList();
     List<ListedInstance> sameRegion =
--- a/core/src/main/java/org/kumquatplank/core/routing/Router.java
+++ b/core/src/main/java/org/kumquatplank/core/routing/Router.java
@@ -277,9 +277,8 @@
     }
     String version = old.plan.firstVersion();
     Optional<String> backend = backends.select(version, old.request, false, old.backend, now);
-    if (backend.isEmpty() && !chargeBudget && backends.serves(old.backend, version)) {
-      // The failure may be limited to one connection, so retry on the only backend server left.
-      backend = Optional.of(old.backend);
+    if (backend.isEmpty() && !chargeBudget) {
+      backend = backends.selectLastResort(version, old.request, old.backend);
     }
     if (backend.isEmpty() || (chargeBudget && !retryBudget.tryAcquire())) {
       return Optional.empty();
--- a/core/src/test/java/org/kumquatplank/core/routing/RouterTest.java
+++ b/core/src/test/java/org/kumquatplank/core/routing/RouterTest.java
@@ -129,6 +129,31 @@
     assertThat(router.cancel(first.id(), 1)).singleElement().isInstanceOf(Action.Send.class);
   }
 
+  @Example
+  void testRetryGoesToASuspectedBackendRatherThanTheOneThatFailed() {
+    configureBackends(2);
+    router.setInstanceList(
+        new InstanceList(List.of(backend("a", false, "small"), backend("b", false, "small"))));
+    RoutingRequest request = newRequest("all", Optional.of("small"));
+    assertThat(router.submit(request, 0)).hasSize(1);
+    assertThat(router.ownLoads()).containsExactly(new PeerLoad("b", 1, 0));
+    router.recordPeerSuspects(List.of("a"), 0);
+    router.recordFailure(request.id(), 0);
+    assertThat(router.retry(request.id(), false, 0).map(Action.Send::backend)).contains("a");
+  }
+
+  @Example
+  void testRetryStaysAtTheFailedBackendIfTheOtherIsFull() {
+    configureBackends(2);
+    router.setInstanceList(
+        new InstanceList(List.of(backend("a", false, "small"), backend("b", false, "small"))));
+    router.setPeerLoads("peer", List.of(new PeerLoad("a", 2, 0)));
+    RoutingRequest request = newRequest("all", Optional.of("small"));
+    assertThat(router.submit(request, 0)).hasSize(1);
+    router.recordFailure(request.id(), 0);
+    assertThat(router.retry(request.id(), false, 0).map(Action.Send::backend)).contains("b");
+  }
+
   @Example
   void testDelayIsNotifiedOnce() {
     configureBackends(1);
