--- a/proofs/src/test/java/org/kumquatplank/proofs/Cluster.java
+++ b/proofs/src/test/java/org/kumquatplank/proofs/Cluster.java
@@ -1,6 +1,8 @@
 package org.kumquatplank.proofs;
 
 import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.File;
@@ -10,8 +12,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.kumquatplank.core.bills.BillReducer;
 import org.kumquatplank.core.claims.Fingerprint;
 import org.kumquatplank.core.config.ClientAccount;
@@ -48,46 +50,7 @@
   final List<ManagedProcess> engines = new ArrayList<>();
   final ManagedProcess plainService;
   final List<ManagedProcess> instances = new ArrayList<>();
-
-  /**
-   * A process of the cluster. The signals {@code STOP} and {@code CONT} freeze and resume it;
-   * {@link #kill} ends it at once, {@link #terminate} lets it shut down and returns its exit code.
-   */
-  record ManagedProcess(String name, String endpoint, String admin, Process process) {
-    void kill() {
-      process.destroyForcibly();
-      await(process);
-    }
-
-    void freeze() {
-      signal("STOP");
-    }
-
-    void resume() {
-      signal("CONT");
-    }
-
-    int terminate() {
-      process.destroy();
-      return await(process);
-    }
-
-    private static int await(Process process) {
-      try {
-        return process.waitFor(60, TimeUnit.SECONDS) ? process.exitValue() : -1;
-      } catch (InterruptedException e) {
-        throw new IllegalStateException(e);
-      }
-    }
-
-    private void signal(String name) {
-      try {
-        await(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start());
-      } catch (IOException e) {
-        throw new IllegalStateException(e);
-      }
-    }
-  }
+  private int nextInstanceNumber = 10;
 
   Cluster(int instanceCount) {
     networkPrefix = "127." + (20 + ProcessHandle.current().pid() % 200) + ".7.";
@@ -98,7 +61,7 @@
         startStandIn(
             "press-1", 4, "PlainServer", "--service", "press", "--domain", "a", "--region", "r");
     for (int i = 0; i < instanceCount; i++) {
-      addInstance();
+      instances.add(startInstance(i));
     }
     await("all instances listed", () -> countInstancesAtVersion(0) == instanceCount);
     await("all backend servers listed", () -> status(0).getAsJsonArray("backends").size() == 3);
@@ -132,20 +95,85 @@
     return start(name, endpoint, "", command);
   }
 
-  /** Starts another instance; instances alternate between two failure domains. */
-  ManagedProcess addInstance() {
-    int number = 10 + instances.size();
+  private ManagedProcess startInstance(int index) {
+    int number = nextInstanceNumber++;
     String host = networkPrefix + number;
     List<String> command = new ArrayList<>(javaCommand());
     command.add("org.kumquatplank.daemon.Main");
     command.addAll(List.of("--name", "entry-" + number, "--listen", host + ":7100"));
     command.addAll(List.of("--admin-listen", host + ":7200", "--peer-listen", host + ":7300"));
     command.addAll(List.of("--platform", platform.endpoint(), "--region", "r"));
-    command.addAll(List.of("--failure-domain", number % 2 == 0 ? "a" : "b"));
+    command.addAll(List.of("--failure-domain", index % 2 == 0 ? "a" : "b"));
     command.addAll(List.of("--address-seconds", "1", "--drain-seconds", "30"));
-    ManagedProcess process = start("entry-" + number, host + ":7100", host + ":7200", command);
-    instances.add(process);
-    return process;
+    return start("entry-" + number, host + ":7100", host + ":7200", command);
+  }
+
+  /** Kills the instance and starts an empty one in its failure domain. */
+  void replaceInstance(int instance) {
+    instances.get(instance).kill();
+    instances.set(instance, startInstance(instance));
+  }
+
+  /** Kills the engine and starts it anew, which is the only way to undo that it is leaving. */
+  void replaceEngine(int engine) {
+    engines.get(engine).kill();
+    engines.set(engine, startEngine(engines.get(engine).name(), 2 + engine));
+  }
+
+  /**
+   * Returns to the state after construction, except for ratings: no faults, no frozen or ended
+   * instance, the first configuration in force, and every instance in touch with all processes.
+   */
+  void restore() {
+    await("faults cleared", this::clearFaults);
+    for (int i = 0; i < instances.size(); i++) {
+      if (instances.get(i).process().isAlive()) {
+        instances.get(i).resume();
+      } else {
+        replaceInstance(i);
+      }
+    }
+    await("all instances in touch", this::isInTouch);
+    await(
+        "first configuration in force",
+        () ->
+            publish(0, currentConfiguration(Stage.WITHDRAWN), configuration(Stage.LIVE)).status()
+                == 200);
+    await("all instances at the same version", this::isInTouch);
+  }
+
+  private boolean clearFaults() {
+    engines.forEach(engine -> setFaults(engine, "{}"));
+    setFaults(platform, "{}");
+    return true;
+  }
+
+  private boolean isInTouch() {
+    for (int i = 0; i < instances.size(); i++) {
+      JsonObject status = status(i);
+      JsonArray entries = status.getAsJsonArray("entries");
+      JsonArray backends = status.getAsJsonArray("backends");
+      long version = status.get("config_version").getAsLong();
+      boolean inTouch =
+          status.get("fresh").getAsBoolean()
+              && entries.size() == instances.size()
+              && backends.size() == 3
+              && allMatch(entries, e -> versionOf(e) == version)
+              && allMatch(backends, b -> !b.get("leaving").getAsBoolean());
+      if (!inTouch) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean allMatch(JsonArray items, Predicate<JsonObject> condition) {
+    return items.asList().stream().map(JsonElement::getAsJsonObject).allMatch(condition);
+  }
+
+  /** Returns the version that a listed instance confirmed, or -1 if none is known. */
+  private static long versionOf(JsonObject entry) {
+    return entry.has("config_version") ? entry.get("config_version").getAsLong() : -1;
   }
 
   private static List<String> javaCommand() {
@@ -211,6 +239,11 @@
         List.of(new PlainService("press", List.of("POST /bookings"), false, 4_000)));
   }
 
+  /** Returns {@link #configuration} with the version in force at the first instance. */
+  Configuration currentConfiguration(Stage largeStage) {
+    return configuration(largeStage).withVersion(status(0).get("config_version").getAsLong());
+  }
+
   FullResponse admin(int instance, Request request) {
     Request authenticated = request.withHeader("Authorization", "Bearer " + ADMIN_TOKEN);
     return client.exchange(
@@ -235,8 +268,7 @@
   private int countInstancesAtVersion(long version) {
     int count = 0;
     for (var entry : status(0).getAsJsonArray("entries")) {
-      var configVersion = entry.getAsJsonObject().get("config_version");
-      count += configVersion != null && configVersion.getAsLong() == version ? 1 : 0;
+      count += versionOf(entry.getAsJsonObject()) == version ? 1 : 0;
     }
     return count;
   }
--- a/proofs/src/test/java/org/kumquatplank/proofs/DegradedProcessTest.java
+++ b/proofs/src/test/java/org/kumquatplank/proofs/DegradedProcessTest.java
@@ -10,6 +10,9 @@
 import java.util.concurrent.Executors;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.AfterExample;
+import net.jqwik.api.lifecycle.BeforeContainer;
 import org.kumquatplank.core.config.ModelVersion.Stage;
 import org.kumquatplank.http.PooledHttpClient.FullResponse;
 import org.kumquatplank.http.Request;
@@ -19,21 +22,28 @@
  * whose slots are all in use.
  */
 class DegradedProcessTest {
-  @Example
-  void testGuaranteesHoldUnderDegradation() {
-    try (Cluster cluster = new Cluster(2)) {
-      delayIsReportedOnTheStream(cluster);
-      versionWithFallingQualityIsDemoted(cluster);
-      configChangeTakesEffectWithSlowLog(cluster);
-      drainWritesBillsWithSlowLog(cluster);
-    }
+  private static Cluster cluster;
+
+  @BeforeContainer
+  static void startCluster() {
+    cluster = new Cluster(2);
+  }
+
+  @AfterContainer
+  static void stopCluster() {
+    cluster.close();
+  }
+
+  @AfterExample
+  void restoreCluster() {
+    cluster.restore();
   }
 
   private static String modelOf(FullResponse reply) {
     return JsonParser.parseString(reply.body()).getAsJsonObject().get("model").getAsString();
   }
 
-  private static List<String> sendAndCollectModels(Cluster cluster, int requests) {
+  private static List<String> sendAndCollectModels(int requests) {
     List<CompletableFuture<List<String>>> callers = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
       int instance = i % 2;
@@ -47,21 +57,23 @@
     return callers.stream().flatMap(f -> f.join().stream()).toList();
   }
 
-  private static void versionWithFallingQualityIsDemoted(Cluster cluster) {
+  @Example
+  void testVersionWithFallingQualityIsDemoted() {
     Cluster.await(
         "requests are sent to the low-cost version only",
-        () -> !sendAndCollectModels(cluster, 40).contains("large@1"));
-    for (Cluster.ManagedProcess engine : cluster.engines) {
+        () -> !sendAndCollectModels(40).contains("large@1"));
+    for (ManagedProcess engine : cluster.engines) {
       cluster.setFaults(engine, "{\"qualityDrop\":0.5,\"dropVersion\":\"small@1\"}");
     }
     Cluster.await(
         "requests are no longer sent to the demoted version",
-        () -> !sendAndCollectModels(cluster, 40).contains("small@1"));
+        () -> !sendAndCollectModels(40).contains("small@1"));
     var demotions = cluster.get(cluster.platform, "/v1/log/demotions?from=0&wait_ms=1000");
     assertThat(demotions.getAsJsonArray("records").toString()).contains("small@1");
   }
 
-  private static void delayIsReportedOnTheStream(Cluster cluster) {
+  @Example
+  void testDelayIsReportedOnTheStream() {
     Executor executor = Executors.newVirtualThreadPerTaskExecutor();
     List<CompletableFuture<FullResponse>> load = new ArrayList<>();
     for (int i = 0; i < 60; i++) {
@@ -84,17 +96,18 @@
         .withHeader("Authorization", "Bearer " + Cluster.HEAD_OFFICE_KEY);
   }
 
-  private static void configChangeTakesEffectWithSlowLog(Cluster cluster) {
+  @Example
+  void testConfigChangeTakesEffectWithSlowLog() {
     cluster.setFaults(cluster.platform, "{\"logSlowMillis\":900}");
     FullResponse reply =
         cluster.publish(
-            0,
-            Cluster.configuration(Stage.LIVE).withVersion(1),
-            Cluster.configuration(Stage.WITHDRAWN));
+            0, cluster.currentConfiguration(Stage.LIVE), Cluster.configuration(Stage.WITHDRAWN));
     assertThat(reply.status()).as(reply.body()).isEqualTo(200);
   }
 
-  private static void drainWritesBillsWithSlowLog(Cluster cluster) {
+  @Example
+  void testDrainWritesBillsWithSlowLog() {
+    cluster.setFaults(cluster.platform, "{\"logSlowMillis\":900}");
     FullResponse last = cluster.send(1, Cluster.chatRequest("tag", 3));
     String id = last.headers().first("Request-Id").orElseThrow();
     assertThat(cluster.instances.get(1).terminate()).isZero();
--- a/proofs/src/test/java/org/kumquatplank/proofs/ServingProcessTest.java
+++ b/proofs/src/test/java/org/kumquatplank/proofs/ServingProcessTest.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.AfterExample;
+import net.jqwik.api.lifecycle.BeforeContainer;
 import org.kumquatplank.core.bills.Bill;
 import org.kumquatplank.core.config.Configuration;
 import org.kumquatplank.core.config.ModelVersion.Stage;
@@ -20,6 +23,23 @@
 class ServingProcessTest {
   private static final String NO_FAULTS = "{}";
 
+  private static Cluster cluster;
+
+  @BeforeContainer
+  static void startCluster() {
+    cluster = new Cluster(3);
+  }
+
+  @AfterContainer
+  static void stopCluster() {
+    cluster.close();
+  }
+
+  @AfterExample
+  void restoreCluster() {
+    cluster.restore();
+  }
+
   private static String responseText(FullResponse reply) {
     return JsonParser.parseString(reply.body())
         .getAsJsonObject()
@@ -39,48 +59,31 @@
   }
 
   @Example
-  void testResponsesStayCompleteAndVersionsAreKept() {
-    try (Cluster cluster = new Cluster(3)) {
-      brokenStreamResumesAtAnotherEngine(cluster);
-      mismatchedResponseIsNotForwarded(cluster);
-      requestIsRetriedWhenEngineIsSilent(cluster);
-      sessionKeepsItsVersionAtEveryInstance(cluster);
-      accountUsesOnlyItsAllowedVersions(cluster);
-      oneOfConcurrentConfigChangesSucceeds(cluster);
-      withdrawnVersionReceivesNoRequests(cluster);
-      frozenInstanceDoesNotUseTheWithdrawnVersion(cluster);
-      billSurvivesInstanceCrashDuringLogOutage(cluster);
-      replacedInstanceCatchesUp(cluster);
-      shutdownCompletesInFlightRequests(cluster);
-      leavingEngineReceivesNoRequests(cluster);
-    }
-  }
-
-  private static void brokenStreamResumesAtAnotherEngine(Cluster cluster) {
+  void testBrokenStreamResumesAtAnotherEngine() {
     cluster.setFaults(cluster.engines.get(0), "{\"breakAfterTokens\":4}");
     for (int i = 0; i < 4; i++) {
       assertWhole(cluster.send(i % 3, Cluster.chatRequest("retelling", 30)), 30);
     }
-    cluster.setFaults(cluster.engines.get(0), NO_FAULTS);
   }
 
-  private static void mismatchedResponseIsNotForwarded(Cluster cluster) {
+  @Example
+  void testMismatchedResponseIsNotForwarded() {
     cluster.setFaults(cluster.engines.get(0), "{\"crossed\":true}");
     for (int i = 0; i < 4; i++) {
       assertWhole(cluster.send(i % 3, Cluster.chatRequest("tag", 5)), 5);
     }
-    cluster.setFaults(cluster.engines.get(0), NO_FAULTS);
   }
 
-  private static void requestIsRetriedWhenEngineIsSilent(Cluster cluster) {
+  @Example
+  void testRequestIsRetriedWhenEngineIsSilent() {
     cluster.setFaults(cluster.engines.get(1), "{\"silent\":true}");
     for (int i = 0; i < 3; i++) {
       assertWhole(cluster.send(i, Cluster.chatRequest("tag", 5)), 5);
     }
-    cluster.setFaults(cluster.engines.get(1), NO_FAULTS);
   }
 
-  private static void sessionKeepsItsVersionAtEveryInstance(Cluster cluster) {
+  @Example
+  void testSessionKeepsItsVersionAtEveryInstance() {
     FullResponse first =
         cluster.send(0, Cluster.chatRequest("retelling", 5).withHeader("Session-Token", "new"));
     String version = first.headers().first("Model-Version").orElseThrow();
@@ -93,7 +96,8 @@
     }
   }
 
-  private static void accountUsesOnlyItsAllowedVersions(Cluster cluster) {
+  @Example
+  void testAccountUsesOnlyItsAllowedVersions() {
     for (int i = 0; i < 6; i++) {
       Request original = Cluster.chatRequest("tag", 3);
       Request request =
@@ -103,13 +107,9 @@
     }
   }
 
-  private static Configuration currentConfiguration(Cluster cluster, Stage largeStage) {
-    long version = cluster.status(0).get("config_version").getAsLong();
-    return Cluster.configuration(largeStage).withVersion(version);
-  }
-
-  private static void oneOfConcurrentConfigChangesSucceeds(Cluster cluster) {
-    Configuration base = currentConfiguration(cluster, Stage.LIVE);
+  @Example
+  void testOneOfConcurrentConfigChangesSucceeds() {
+    Configuration base = cluster.currentConfiguration(Stage.LIVE);
     Configuration changed = Cluster.configuration(Stage.TRIAL);
     List<CompletableFuture<FullResponse>> replies = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
@@ -120,11 +120,12 @@
     assertThat(statuses).containsExactly(200, 409, 409);
     FullResponse restored =
         cluster.publish(
-            0, currentConfiguration(cluster, Stage.TRIAL), Cluster.configuration(Stage.LIVE));
+            0, cluster.currentConfiguration(Stage.TRIAL), Cluster.configuration(Stage.LIVE));
     assertThat(restored.status()).isEqualTo(200);
   }
 
-  private static void withdrawnVersionReceivesNoRequests(Cluster cluster) {
+  @Example
+  void testWithdrawnVersionReceivesNoRequests() {
     List<CompletableFuture<Void>> load = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
       int instance = i;
@@ -139,24 +140,23 @@
     Cluster.sleep(300);
     FullResponse reply =
         cluster.publish(
-            0, currentConfiguration(cluster, Stage.LIVE), Cluster.configuration(Stage.WITHDRAWN));
+            0, cluster.currentConfiguration(Stage.LIVE), Cluster.configuration(Stage.WITHDRAWN));
     long publishedMillis = System.currentTimeMillis();
     assertThat(reply.status()).isEqualTo(200);
     load.forEach(CompletableFuture::join);
     assertThat(cluster.servedRequests())
         .noneMatch(s -> s.version().equals("large@1") && s.at_millis() > publishedMillis);
-    cluster.publish(
-        0, currentConfiguration(cluster, Stage.WITHDRAWN), Cluster.configuration(Stage.LIVE));
   }
 
-  private static void frozenInstanceDoesNotUseTheWithdrawnVersion(Cluster cluster) {
+  @Example
+  void testFrozenInstanceDoesNotUseTheWithdrawnVersion() {
     cluster.instances.get(1).freeze();
     CompletableFuture<FullResponse> published =
         CompletableFuture.supplyAsync(
             () ->
                 cluster.publish(
                     0,
-                    currentConfiguration(cluster, Stage.LIVE),
+                    cluster.currentConfiguration(Stage.LIVE),
                     Cluster.configuration(Stage.WITHDRAWN)));
     Cluster.sleep(4_000);
     long withdrawnMillis = System.currentTimeMillis();
@@ -167,37 +167,37 @@
     published.join();
     assertThat(cluster.servedRequests())
         .noneMatch(s -> s.version().equals("large@1") && s.at_millis() >= withdrawnMillis);
-    cluster.publish(
-        0, currentConfiguration(cluster, Stage.WITHDRAWN), Cluster.configuration(Stage.LIVE));
   }
 
-  private static void billSurvivesInstanceCrashDuringLogOutage(Cluster cluster) {
+  @Example
+  void testBillSurvivesInstanceCrashDuringLogOutage() {
     cluster.setFaults(cluster.platform, "{\"logDown\":true}");
     FullResponse reply = cluster.send(2, Cluster.chatRequest("tag", 4));
     String id = reply.headers().first("Request-Id").orElseThrow();
     cluster.instances.get(2).kill();
     cluster.setFaults(cluster.platform, NO_FAULTS);
-    Cluster.await("bill written to the log", () -> isBilled(cluster, id));
+    Cluster.await("bill written to the log", () -> isBilled(id));
   }
 
-  private static boolean isBilled(Cluster cluster, String id) {
+  private static boolean isBilled(String id) {
     return cluster.readBills().bills().stream()
         .anyMatch(b -> b.id().equals(id) && b.ending() == Bill.Ending.WHOLE);
   }
 
-  private static void replacedInstanceCatchesUp(Cluster cluster) {
+  @Example
+  void testReplacedInstanceCatchesUp() {
     long version = cluster.status(0).get("config_version").getAsLong();
-    cluster.addInstance();
-    int newInstance = cluster.instances.size() - 1;
+    cluster.replaceInstance(2);
     Cluster.await(
         "new instance ready",
         () ->
-            cluster.status(newInstance).get("config_version").getAsLong() == version
-                && cluster.status(newInstance).get("fresh").getAsBoolean());
-    assertWhole(cluster.send(newInstance, Cluster.chatRequest("tag", 3)), 3);
+            cluster.status(2).get("config_version").getAsLong() == version
+                && cluster.status(2).get("fresh").getAsBoolean());
+    assertWhole(cluster.send(2, Cluster.chatRequest("tag", 3)), 3);
   }
 
-  private static void shutdownCompletesInFlightRequests(Cluster cluster) {
+  @Example
+  void testShutdownCompletesInFlightRequests() {
     List<CompletableFuture<FullResponse>> inFlight = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
       inFlight.add(
@@ -210,21 +210,26 @@
     assertThat(exitCode).isZero();
     for (CompletableFuture<FullResponse> reply : inFlight) {
       String id = reply.join().headers().first("Request-Id").orElseThrow();
-      assertThat(isBilled(cluster, id)).isTrue();
+      assertThat(isBilled(id)).isTrue();
     }
   }
 
-  private static void leavingEngineReceivesNoRequests(Cluster cluster) {
+  @Example
+  void testLeavingEngineReceivesNoRequests() {
     cluster.setFaults(cluster.engines.get(0), "{\"leaving\":true}");
     Cluster.sleep(3_500);
     long leftMillis = System.currentTimeMillis();
-    for (int i = 0; i < 6; i++) {
-      assertWhole(cluster.send(0, Cluster.chatRequest("tag", 3)), 3);
+    try {
+      for (int i = 0; i < 6; i++) {
+        assertWhole(cluster.send(0, Cluster.chatRequest("tag", 3)), 3);
+      }
+      var late =
+          cluster.get(cluster.engines.get(0), "/stats").getAsJsonArray("served").asList().stream()
+              .filter(s -> s.getAsJsonObject().get("at_millis").getAsLong() > leftMillis)
+              .toList();
+      assertThat(late).isEmpty();
+    } finally {
+      cluster.replaceEngine(0);
     }
-    var late =
-        cluster.get(cluster.engines.get(0), "/stats").getAsJsonArray("served").asList().stream()
-            .filter(s -> s.getAsJsonObject().get("at_millis").getAsLong() > leftMillis)
-            .toList();
-    assertThat(late).isEmpty();
   }
 }
