Decide a published change by reading the log, not by what the instance applied

Cause: the publisher waited for a verdict that the control state notes when it applies the change's record.

Fix: the publisher folds the log itself, from the configuration and offset that it checked the change against, until it finds its change. Every reader folds the same records to the same result, so nothing that the control state adopts meanwhile matters, and the map of verdicts is gone. An accepted change is then awaited at the instance itself, as before. Where records are missing, nothing is logged and the answer is 503 not_ready. A publish costs one more read of the log.

--- a/daemon/src/main/java/org/kumquatplank/daemon/ConfigPublisher.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ConfigPublisher.java
@@ -19,7 +19,10 @@
 import org.kumquatplank.core.error.RouterException;
 import org.kumquatplank.core.log.EventLog;
 import org.kumquatplank.core.log.LogException;
+import org.kumquatplank.core.log.LogPage;
+import org.kumquatplank.core.log.LogRecord;
 import org.kumquatplank.core.membership.ListedInstance;
+import org.kumquatplank.core.time.Deadlines;
 
 /** Publishes configuration changes and reports where they are in force. Thread-safe. */
 final class ConfigPublisher {
@@ -31,6 +34,7 @@
    */
   private static final Duration VERDICT_TIMEOUT = Duration.ofSeconds(10);
 
+  private static final Duration LONG_POLL_TIMEOUT = Duration.ofMillis(800);
   private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
 
   private final EventLog log;
@@ -54,7 +58,13 @@
    *     outcome is unknown
    */
   long publish(long base, List<ConfigOp> ops, String author) {
-    Configuration current = state.snapshot().configuration();
+    ControlSnapshot before = state.snapshot();
+    // Before the first read, the offset is 0, and the verdict is computed from the whole log.
+    if (!before.configComplete() && before.configNextOffset() > 0) {
+      throw RouterException.notRun(
+          ErrorCode.NOT_READY, "this instance has not read the whole configuration yet");
+    }
+    Configuration current = before.configuration();
     if (base != current.version()) {
       throw conflict(current.version());
     }
@@ -69,15 +79,16 @@
             ErrorCode.LOG_UNAVAILABLE, "the log took nothing; the change is not published");
       }
     }
-    ConfigReducer.ApplyResult result =
-        awaitVerdict(nonce)
-            .orElseThrow(
-                () ->
-                    RouterException.unknown(
-                        ErrorCode.LOG_UNAVAILABLE,
-                        "the log gave no answer; look at the configuration before publishing again"));
-    if (result != ConfigReducer.ApplyResult.ACCEPTED) {
-      throw conflict(state.snapshot().configuration().version());
+    Instant deadline = Instant.now().plus(VERDICT_TIMEOUT);
+    ConfigReducer reducer = ConfigReducer.create();
+    reducer.adopt(current, before.configNextOffset());
+    switch (awaitVerdict(reducer, nonce, deadline)) {
+      case ACCEPTED -> awaitOwnVersion(base + 1, deadline);
+      case CONFLICT -> throw conflict(reducer.current().version());
+      case HELD, NO_EFFECT ->
+          throw RouterException.unknown(
+              ErrorCode.LOG_UNAVAILABLE,
+              "the log gave no answer; look at the configuration before publishing again");
     }
     return base + 1;
   }
@@ -98,17 +109,42 @@
     }
   }
 
-  private Optional<ConfigReducer.ApplyResult> awaitVerdict(String nonce) {
-    Instant deadline = Instant.now().plus(VERDICT_TIMEOUT);
+  /**
+   * Reads the log until the change with the nonce is found, and returns its result, or {@code
+   * NO_EFFECT} if it is not found in time.
+   *
+   * <p>The reducer is the publisher's own: the control state may adopt a peer's configuration that
+   * includes the change, and then never applies the change itself.
+   */
+  private ConfigReducer.ApplyResult awaitVerdict(
+      ConfigReducer reducer, String nonce, Instant deadline) {
+    long from = reducer.nextOffset();
     while (Instant.now().isBefore(deadline)) {
-      Optional<ConfigReducer.ApplyResult> verdict =
-          controlThread.call(() -> state.findVerdict(nonce));
-      if (verdict.isPresent()) {
-        return verdict;
+      try {
+        Instant waitUntil = Deadlines.earlier(Instant.now().plus(LONG_POLL_TIMEOUT), deadline);
+        LogPage page = log.read(ConfigFollower.STREAM, from, waitUntil);
+        for (LogRecord record : page.records()) {
+          Optional<ConfigEntry> entry = ConfigCodec.fromJson(record.text());
+          if (entry.isPresent()) {
+            ConfigReducer.ApplyResult result = reducer.apply(record.offset(), entry.get());
+            if (entry.get() instanceof ConfigEntry.Change c && c.nonce().equals(nonce)) {
+              return result;
+            }
+          }
+        }
+        from = page.next();
+      } catch (LogException e) {
+        pause();
       }
+    }
+    return ConfigReducer.ApplyResult.NO_EFFECT;
+  }
+
+  private void awaitOwnVersion(long version, Instant deadline) {
+    while (state.snapshot().configuration().version() < version
+        && Instant.now().isBefore(deadline)) {
       pause();
     }
-    return Optional.empty();
   }
 
   /** Waits until the version is in force on all listed instances, or until the deadline. */
--- a/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ControlState.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,7 +32,6 @@
  */
 final class ControlState {
   private static final Logger LOG = LoggerFactory.getLogger(ControlState.class);
-  private static final int MAX_VERDICTS = 1_000;
 
   private final String self;
   private final Freshness freshness;
@@ -42,15 +40,6 @@
   private final QualityTracker quality = QualityTracker.create();
   private final Router router;
   private final Map<String, ActionQueue> actionQueues = new HashMap<>();
-  private final Map<String, ConfigReducer.ApplyResult> verdicts =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, ConfigReducer.ApplyResult> eldest) {
-          return size() > MAX_VERDICTS;
-        }
-      };
   private final Map<String, PeerDigest> peerDigests = new HashMap<>();
   private InstanceList instances = InstanceList.empty();
   private volatile ControlSnapshot snapshot = ControlSnapshot.empty();
@@ -93,19 +82,11 @@
     Configuration previous = reducer.current();
     for (LogRecord record : page.records()) {
       Optional<ConfigEntry> entry = ConfigCodec.fromJson(record.text());
-      entry.ifPresent(e -> applyEntry(record.offset(), e));
+      entry.ifPresent(e -> reducer.apply(record.offset(), e));
     }
     onConfigurationApplied(previous);
   }
 
-  private void applyEntry(long offset, ConfigEntry entry) {
-    ConfigReducer.ApplyResult result = reducer.apply(offset, entry);
-    if (entry instanceof ConfigEntry.Change change
-        && result != ConfigReducer.ApplyResult.NO_EFFECT) {
-      verdicts.putIfAbsent(change.nonce(), result);
-    }
-  }
-
   /** Adopts a configuration snapshot from a peer that has read further in the stream. */
   void adoptSnapshot(ConfigEntry.Snapshot snapshot) {
     Configuration previous = reducer.current();
@@ -143,10 +124,6 @@
     }
   }
 
-  Optional<ConfigReducer.ApplyResult> findVerdict(String nonce) {
-    return Optional.ofNullable(verdicts.get(nonce));
-  }
-
   void setInstances(InstanceList newInstances) {
     instances = newInstances;
     Set<String> others = new HashSet<>();
