--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -123,7 +123,8 @@
         catalog
             .service(request.service())
             .orElseGet(() -> new ServiceInfo(request.service(), Integer.MAX_VALUE, Map.of()));
-    Exchange exchange = new Exchange(dispatcher, connection, head, body, request, service);
+    Exchange exchange =
+        new Exchange(dispatcher, connection, new ForwardedRequest(head, body, request), service);
     dispatcher.start(exchange);
     return exchange.isDone() ? Optional.empty() : Optional.of(exchange);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -12,11 +12,9 @@
 import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.SendTracker;
-import org.kumquatplank.platform.wire.BackendProtocol;
 import org.kumquatplank.platform.wire.BackendResponseHead;
 import org.kumquatplank.platform.wire.CallerProtocol;
 import org.kumquatplank.platform.wire.CallerProtocol.LocalResponse;
-import org.kumquatplank.platform.wire.CallerRequestHead;
 
 /**
  * One request of a caller, from its arrival to its final response, with all its retries.
@@ -31,8 +29,7 @@
 
   private final Dispatcher dispatcher;
   private final ResponseWriter writer;
-  private final CallerRequestHead head;
-  private final byte[] body;
+  private final ForwardedRequest forwarded;
   private final DispatchRequest request;
   private final ServiceInfo service;
   private final SendTracker sendTracker = SendTracker.create();
@@ -52,15 +49,12 @@
   Exchange(
       Dispatcher dispatcher,
       ResponseWriter writer,
-      CallerRequestHead head,
-      byte[] body,
-      DispatchRequest request,
+      ForwardedRequest forwarded,
       ServiceInfo service) {
     this.dispatcher = dispatcher;
     this.writer = writer;
-    this.head = head;
-    this.body = body;
-    this.request = request;
+    this.forwarded = forwarded;
+    this.request = forwarded.dispatch();
     this.service = service;
     this.times = new StreamTimes(request.arrivalMicros());
   }
@@ -109,7 +103,7 @@
   }
 
   boolean routerSelectsModel() {
-    return head.routerSelectsModel();
+    return forwarded.head().routerSelectsModel();
   }
 
   private Route route() {
@@ -125,17 +119,8 @@
   }
 
   Object backendRequest(BackendCall forCall) {
-    long remainingMillis =
-        Math.max(1, (request.deadlineMicros() - Clock.micros()) / MICROS_PER_MILLI);
-    BackendState backend = forCall.selection().backend();
-    Optional<String> account =
-        request.account().isEmpty() ? Optional.empty() : Optional.of(request.account());
-    Optional<String> lastEvent = events.lastId().isPresent() ? events.lastId() : head.lastEventId();
-    return BackendProtocol.request(
-        head,
-        body,
-        new BackendProtocol.AddedHeaders(
-            remainingMillis, backend.server().id(), account, model, request.priority(), lastEvent));
+    String backendId = forCall.selection().backend().server().id();
+    return forwarded.encode(backendId, model, events.lastId());
   }
 
   void onConnectFailed(BackendCall ended, String reason) {
@@ -369,7 +354,8 @@
             : OptionalDouble.empty();
     finish(verdict + ": " + reason);
     LocalResponse response = LocalResponse.of(verdict);
-    writer.respond(CallerProtocol.localResponse(response, head.attemptId(), retryAfter, reason));
+    writer.respond(
+        CallerProtocol.localResponse(response, forwarded.head().attemptId(), retryAfter, reason));
   }
 
   private void abort(String reason) {
