--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -15,6 +15,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 /**
@@ -26,12 +27,15 @@
  */
 public final class FakeBackendServer implements AutoCloseable {
   private static final String OK_HEAD = "HTTP/1.1 200 OK\r\n";
+  private static final long LATE_RESPONSE_MILLIS = 50;
+  private static final int BLOCK_BYTES = 16_384;
 
   private final String id;
   private final ServerSocket listener;
   private final Function<Received, Behaviour> behaviour;
   private final List<Received> received = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private final AtomicInteger endlessResponses = new AtomicInteger();
 
   private FakeBackendServer(
       String id, ServerSocket listener, Function<Received, Behaviour> behaviour) {
@@ -86,6 +90,15 @@
      * @param confidence confidence in the response, sent as {@code X-Confidence}
      */
     record Stream(int last, int breakAfter, int confidence) implements Behaviour {}
+
+    /**
+     * Sends bytes without end, until the caller closes the connection.
+     *
+     * @param start bytes that are sent once
+     * @param repeated bytes that are sent over and over
+     * @param pauseMillis pause before each repetition, milliseconds; 0 sends as fast as possible
+     */
+    record Endless(String start, String repeated, long pauseMillis) implements Behaviour {}
   }
 
   /** Opens a backend server on a free port. */
@@ -102,6 +115,11 @@
     return List.copyOf(received);
   }
 
+  /** Returns the number of endless responses that are still being sent. */
+  public int endlessResponses() {
+    return endlessResponses.get();
+  }
+
   /** Returns the entry that this backend server writes to the store, as JSON. */
   public String entry(String service, String state) {
     String address = listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
@@ -187,7 +205,7 @@
       }
       case Behaviour.AnswerTwice a -> {
         write(out, fullResponse(200, attemptId, a.body()));
-        pause();
+        pause(LATE_RESPONSE_MILLIS);
         write(out, fullResponse(200, "another-request", "not yours"));
       }
       case Behaviour.CutOff c -> {
@@ -202,6 +220,10 @@
       case Behaviour.Stream s -> {
         return writeStream(out, request, s);
       }
+      case Behaviour.Endless e -> {
+        writeEndless(out, e);
+        return false;
+      }
     }
     return true;
   }
@@ -230,18 +252,43 @@
     return true;
   }
 
+  private void writeEndless(OutputStream out, Behaviour.Endless endless) throws IOException {
+    endlessResponses.incrementAndGet();
+    try {
+      write(out, endless.start());
+      int copies = endless.pauseMillis() > 0 ? 1 : 1 + BLOCK_BYTES / endless.repeated().length();
+      String block = endless.repeated().repeat(copies);
+      while (true) {
+        pause(endless.pauseMillis());
+        write(out, block);
+      }
+    } finally {
+      endlessResponses.decrementAndGet();
+    }
+  }
+
   private static void writeChunk(OutputStream out, String text) throws IOException {
     write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
   }
 
-  private static void pause() {
+  private static void pause(long millis) {
     try {
-      Thread.sleep(50);
+      Thread.sleep(millis);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  /** Returns the status line and identity headers of a success, without an end of the head. */
+  public static String openHead(Received request) {
+    return OK_HEAD
+        + "X-Attempt-Id: "
+        + request.header("x-attempt-id")
+        + "\r\nX-Response-Seal: seal-of-"
+        + request.header("x-target-replica")
+        + "\r\n";
+  }
+
   private String identityHeaders(String attemptId) {
     return "X-Attempt-Id: " + attemptId + "\r\nX-Response-Seal: seal-of-" + id + "\r\n";
   }
