Close a connection whose bytes before or around a response never end

Callers of a backend server that sent interim responses (1xx), responses to other requests, bytes after a switch of protocols, tiny chunks or long chunk extensions without end got 504 at their deadline, also where another backend server could have served them, and the traffic thread decoded the flood all that time.

Cause: skipped responses were neither counted nor measured, bytes after a 101 were ignored, and only the decoded body had a limit. Now a call may receive 16 MiB, or 65,536 chunks, that reach no caller (an event of a stream that is passed on starts the count anew, so long streams are not cut), and 32 skipped responses; a 101 is not an answer. The call ends as broken, so a request that may be repeated goes elsewhere at once and others end as unknown.

Without the fix six tests of EndlessResponseTest failed: expected 502 but was 504 (informational, protocol switch, responses to other requests, endless body of one), and 504 in place of "good" (tiny chunks, long chunk extensions).

--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -113,10 +113,13 @@
     exchange.onHead(this, newHead);
   }
 
-  void onBody(ByteBuf bytes) {
+  /** Handles bytes of the body; returns whether they completed an event of a stream. */
+  boolean onBody(ByteBuf bytes) {
     lastProgressAt = Clock.micros();
     selection.backend().recordProgress(lastProgressAt);
+    int eventsBefore = exchange.eventCount();
     exchange.onBody(this, head, bytes);
+    return exchange.eventCount() > eventsBefore;
   }
 
   void onEnd() {
--- a/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -30,12 +31,27 @@
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
 
+  /**
+   * Limit on the bytes of a call that reach no caller yet; twice the largest body, which leaves
+   * room for its framing and for a late response to another request.
+   */
+  private static final long MAX_WITHHELD_BYTES = 16 * 1024 * 1024;
+
+  /** The same limit on chunks, as tiny ones cost more time than their bytes. */
+  private static final int MAX_WITHHELD_CHUNKS = 65_536;
+
+  /** Limit on the interim and late responses before the expected one. */
+  private static final int MAX_SKIPPED_RESPONSES = 32;
+
   private final BackendPool pool;
   private final BackendPool.Key key;
   private final Decoder decoder = new Decoder();
   private Channel channel;
   private BackendCall call;
   private BackendResponseHead head;
+  private long withheldBytes;
+  private int withheldChunks;
+  private int skippedResponses;
   private boolean skippingResponse;
   private boolean sawForeignResponse;
   private boolean reset;
@@ -69,7 +85,7 @@
   }
 
   void addTo(ChannelPipeline pipeline) {
-    pipeline.addLast(new IdleDataGuard(), decoder, new HttpRequestEncoder(), new ResponseHandler());
+    pipeline.addLast(new DataGuard(), decoder, new HttpRequestEncoder(), new ResponseHandler());
   }
 
   BackendPool.Key key() {
@@ -96,6 +112,9 @@
   void send(BackendCall newCall, Object request) {
     call = newCall;
     head = null;
+    withheldBytes = 0;
+    withheldChunks = 0;
+    skippedResponses = 0;
     skippingResponse = false;
     requestWritten = false;
     ChannelFuture future = channel.writeAndFlush(request);
@@ -121,15 +140,19 @@
     }
   }
 
-  /** Closes an idle connection on which bytes arrive. */
-  private final class IdleDataGuard extends ChannelInboundHandlerAdapter {
+  /** Closes a connection on which bytes arrive while it is idle, or too many during a call. */
+  private final class DataGuard extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       if (call == null) {
         ReferenceCountUtil.release(message);
         ctx.close();
-      } else {
-        ctx.fireChannelRead(message);
+        return;
+      }
+      withheldBytes += ((ByteBuf) message).readableBytes();
+      ctx.fireChannelRead(message);
+      if (call != null && withheldBytes > MAX_WITHHELD_BYTES) {
+        closeBroken("bytes without end");
       }
     }
   }
@@ -159,26 +182,43 @@
         closeBroken("an answer that can't be read");
         return;
       }
+      if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+        closeBroken("a switch of protocols");
+        return;
+      }
       if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-        skippingResponse = true;
+        skipResponse();
         return;
       }
       BackendResponseHead newHead = BackendProtocol.decode(response);
       if (newHead.attemptId().isPresent() && !newHead.attemptId().get().equals(call.requestId())) {
         // A late duplicate response to an earlier request; the expected one may follow.
-        skippingResponse = true;
         sawForeignResponse = true;
+        skipResponse();
         return;
       }
       head = newHead;
       call.onHead(newHead);
     }
 
+    private void skipResponse() {
+      skippingResponse = true;
+      skippedResponses++;
+      if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+        closeBroken("too many interim or late responses");
+      }
+    }
+
     private void onContent(HttpContent content) {
       if (content.decoderResult().isFailure()) {
         closeBroken("a body that can't be read");
         return;
       }
+      withheldChunks++;
+      if (withheldChunks > MAX_WITHHELD_CHUNKS) {
+        closeBroken("chunks without end");
+        return;
+      }
       boolean last = content instanceof LastHttpContent;
       if (skippingResponse) {
         skippingResponse = !last;
@@ -189,8 +229,9 @@
         return;
       }
       ByteBuf bytes = content.content();
-      if (bytes.isReadable()) {
-        call.onBody(bytes);
+      if (bytes.isReadable() && call.onBody(bytes)) {
+        withheldBytes = 0;
+        withheldChunks = 0;
       }
       if (last && call != null) {
         end();
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -381,4 +381,8 @@
   int sendCount() {
     return sendCount;
   }
+
+  int eventCount() {
+    return events.eventCount();
+  }
 }
--- a/edge/src/test/java/org/kumquatplank/edge/EndlessResponseTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EndlessResponseTest.java
@@ -65,6 +65,26 @@
     checkFlood(r -> flood(FakeBackendServer.openHead(r), "X-Many: x\r\n"));
   }
 
+  @Example
+  void testEndlessInformationalResponsesAreCutOff() throws IOException {
+    checkFlood(r -> flood("", "HTTP/1.1 102 Processing\r\n\r\n"));
+  }
+
+  @Example
+  void testEndlessBytesAfterAProtocolSwitchAreCutOff() throws IOException {
+    checkFlood(r -> flood("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "x"));
+  }
+
+  @Example
+  void testEndlessResponsesToOtherRequestsAreCutOff() throws IOException {
+    checkFlood(r -> flood("", FOREIGN + "Content-Length: 2\r\n\r\nno"));
+  }
+
+  @Example
+  void testEndlessBodyOfAResponseToAnotherRequestIsCutOff() throws IOException {
+    checkFlood(r -> flood(FOREIGN + "\r\n", "x"));
+  }
+
   @Example
   void testEndlessBodyWithoutLengthIsCutOff() throws IOException {
     checkFlood(r -> flood(FakeBackendServer.openHead(r) + "\r\n", "x"));
@@ -83,11 +103,23 @@
             flood(FakeBackendServer.openHead(r) + CHUNKED, "400\r\n" + "x".repeat(1_024) + "\r\n"));
   }
 
+  @Example
+  void testEndlessTinyChunksAreCutOff() throws IOException {
+    checkFlood(r -> flood(FakeBackendServer.openHead(r) + CHUNKED, "1\r\nx\r\n"));
+  }
+
   @Example
   void testEndlessChunkExtensionIsCutOff() throws IOException {
     checkFlood(r -> flood(FakeBackendServer.openHead(r) + CHUNKED + "1;", "x"));
   }
 
+  @Example
+  void testEndlessLongChunkExtensionsAreCutOff() throws IOException {
+    checkFlood(
+        r ->
+            flood(FakeBackendServer.openHead(r) + CHUNKED, "1;" + "x".repeat(4_000) + "\r\nx\r\n"));
+  }
+
   @Example
   void testEndlessBytesInPlaceOfTheEndOfAChunkAreCutOff() throws IOException {
     checkFlood(r -> flood(FakeBackendServer.openHead(r) + CHUNKED + "1\r\nx", "x"));
