Scan an unfinished event once, not again with each piece

A backend server that sent an event without end in tiny pieces cost the traffic thread a copy and a scan of all bytes so far for each piece: with the limit of 1 MiB on an event, 10^12 bytes, so that all other requests of the instance wait. Seen by reading the code and measured as memory allocated, not as a standstill.

Cause: EventSplitter.add copied the pending bytes into a new array and scanned it from its start. Now it keeps its position and lets the array grow by doubling. What is forwarded, counted and dropped is as before.

--- a/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
@@ -17,68 +17,92 @@
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
   private byte[] pending = new byte[0];
+  private int pendingBytes;
+  private int lineStart;
+  private int scannedBytes;
+  private boolean inEvent;
+  private Optional<String> pendingId = Optional.empty();
   private Optional<String> lastId = Optional.empty();
   private int eventCount;
 
   /** Adds bytes, and returns the events that are now complete, if any. */
   Optional<ByteBuf> add(ByteBuf bytes) {
-    int pendingBytes = pending.length;
-    byte[] all = Arrays.copyOf(pending, pendingBytes + bytes.readableBytes());
-    bytes.readBytes(all, pendingBytes, bytes.readableBytes());
+    append(bytes);
     int end = 0;
-    int lineStart = 0;
-    for (int i = 0; i < all.length; i++) {
-      if (all[i] == '\n') {
-        if (isBlank(all, lineStart, i)) {
-          if (lineStart > end) {
-            eventCount++;
-          }
-          end = i + 1;
+    for (; scannedBytes < pendingBytes; scannedBytes++) {
+      if (pending[scannedBytes] == '\n') {
+        if (endLine()) {
+          end = scannedBytes + 1;
         }
-        lineStart = i + 1;
+        lineStart = scannedBytes + 1;
       }
     }
-    pending = end == all.length ? new byte[0] : Arrays.copyOfRange(all, end, all.length);
-    if (end == 0) {
-      return Optional.empty();
-    }
-    noteLastId(all, end);
-    return Optional.of(Unpooled.wrappedBuffer(all, 0, end));
+    return end == 0 ? Optional.empty() : Optional.of(take(end));
   }
 
-  private static boolean isBlank(byte[] all, int from, int to) {
-    return from == to || (to == from + 1 && all[from] == '\r');
+  private void append(ByteBuf bytes) {
+    int addedBytes = bytes.readableBytes();
+    if (pending.length - pendingBytes < addedBytes) {
+      pending = Arrays.copyOf(pending, Math.max(pendingBytes + addedBytes, 2 * pendingBytes));
+    }
+    bytes.readBytes(pending, pendingBytes, addedBytes);
+    pendingBytes += addedBytes;
   }
 
-  private void noteLastId(byte[] all, int end) {
-    int lineStart = 0;
-    for (int i = 0; i < end; i++) {
-      if (all[i] == '\n') {
-        if (startsWithId(all, lineStart, i)) {
-          int from = lineStart + ID_FIELD.length;
-          lastId = Optional.of(new String(all, from, i - from, StandardCharsets.UTF_8).trim());
-        }
-        lineStart = i + 1;
+  /** Handles the line that ends at the scanned position; returns whether it ends an event. */
+  private boolean endLine() {
+    boolean blank =
+        scannedBytes == lineStart || (scannedBytes == lineStart + 1 && pending[lineStart] == '\r');
+    if (!blank) {
+      inEvent = true;
+      if (startsWithId()) {
+        int from = lineStart + ID_FIELD.length;
+        pendingId =
+            Optional.of(
+                new String(pending, from, scannedBytes - from, StandardCharsets.UTF_8).trim());
       }
+      return false;
     }
+    if (inEvent) {
+      eventCount++;
+      lastId = pendingId.or(() -> lastId);
+      inEvent = false;
+      pendingId = Optional.empty();
+    }
+    return true;
+  }
+
+  private boolean startsWithId() {
+    int idEnd = lineStart + ID_FIELD.length;
+    return idEnd <= scannedBytes
+        && Arrays.equals(pending, lineStart, idEnd, ID_FIELD, 0, ID_FIELD.length);
   }
 
-  private static boolean startsWithId(byte[] all, int from, int to) {
-    return to - from >= ID_FIELD.length
-        && Arrays.equals(all, from, from + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
+  private ByteBuf take(int end) {
+    ByteBuf taken = Unpooled.wrappedBuffer(pending, 0, end);
+    pending = Arrays.copyOfRange(pending, end, pendingBytes);
+    pendingBytes = pending.length;
+    lineStart -= end;
+    scannedBytes = pendingBytes;
+    return taken;
   }
 
   /** Discards an incomplete event whose backend server will not finish it. */
   void dropPartial() {
     pending = new byte[0];
+    pendingBytes = 0;
+    lineStart = 0;
+    scannedBytes = 0;
+    inEvent = false;
+    pendingId = Optional.empty();
   }
 
   boolean hasPartial() {
-    return pending.length > 0;
+    return pendingBytes > 0;
   }
 
   boolean isTooLong() {
-    return pending.length > MAX_EVENT_BYTES;
+    return pendingBytes > MAX_EVENT_BYTES;
   }
 
   /** Returns the id of the last complete event that has one. */
