Count only events as progress of a stream

A stream whose backend server sent comments, blank lines or one unfinished event without end, slowly or as fast as it could, was cut at its deadline, although another backend server could have resumed it: the bytes counted as progress, so the backend server never seemed silent, and blocks of comments counted as events.

Comments are still forwarded. The progress of buffered responses is unchanged.

Without the fix four tests of EndlessStreamTest failed: expected ids 1 to 4, found only 1 (comments and blank lines without end, dripped comments, dripped event).

--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -59,7 +59,7 @@
     return sentAt;
   }
 
-  /** Returns when the backend server last sent data, or when the request was sent, microseconds. */
+  /** Returns when the request was sent or last made progress, microseconds. */
   long lastProgressAt() {
     return lastProgressAt;
   }
@@ -113,13 +113,20 @@
     exchange.onHead(this, newHead);
   }
 
-  /** Handles bytes of the body; returns whether they completed an event of a stream. */
+  /**
+   * Handles bytes of the body; returns whether they completed an event of a stream.
+   *
+   * <p>In a stream only an event is progress: comments and unfinished events may go on without end.
+   */
   boolean onBody(ByteBuf bytes) {
-    lastProgressAt = Clock.micros();
-    selection.backend().recordProgress(lastProgressAt);
     int eventsBefore = exchange.eventCount();
     exchange.onBody(this, head, bytes);
-    return exchange.eventCount() > eventsBefore;
+    boolean completedEvent = exchange.eventCount() > eventsBefore;
+    if (completedEvent || !exchange.isStream(head)) {
+      lastProgressAt = Clock.micros();
+      selection.backend().recordProgress(lastProgressAt);
+    }
+    return completedEvent;
   }
 
   void onEnd() {
--- a/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
@@ -54,7 +54,7 @@
     boolean blank =
         scannedBytes == lineStart || (scannedBytes == lineStart + 1 && pending[lineStart] == '\r');
     if (!blank) {
-      inEvent = true;
+      inEvent |= pending[lineStart] != ':';
       if (startsWithId()) {
         int from = lineStart + ID_FIELD.length;
         pendingId =
@@ -110,7 +110,7 @@
     return lastId;
   }
 
-  /** Returns the number of complete events. */
+  /** Returns the number of complete events, without comments. */
   int eventCount() {
     return eventCount;
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -191,7 +191,7 @@
     if (from.hasEnded()) {
       return;
     }
-    if (response.isSuccess() && route().stream()) {
+    if (isStream(response)) {
       onStreamBytes(from, response, bytes);
       return;
     }
@@ -202,7 +202,12 @@
     }
   }
 
+  boolean isStream(BackendResponseHead response) {
+    return response.isSuccess() && route().stream();
+  }
+
   private void onStreamBytes(BackendCall from, BackendResponseHead response, ByteBuf bytes) {
+    int eventsBefore = events.eventCount();
     Optional<ByteBuf> completeEvents = events.add(bytes);
     if (events.isTooLong()) {
       from.cancel();
@@ -211,7 +216,9 @@
     }
     if (completeEvents.isPresent()) {
       beginStream(response);
-      times.recordEvent(Clock.micros());
+      if (events.eventCount() > eventsBefore) {
+        times.recordEvent(Clock.micros());
+      }
       writer.sendEvents(completeEvents.get());
       if (!writer.isWritable()) {
         from.setReading(false);
--- a/edge/src/test/java/org/kumquatplank/edge/EndlessStreamTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EndlessStreamTest.java
@@ -49,6 +49,26 @@
     checkResumed(r -> firstEventThen(r, "x", 0));
   }
 
+  @Example
+  void testEndlessCommentsAreCutOffAndTheStreamResumes() throws IOException {
+    checkResumed(r -> firstEventThen(r, ":" + "x".repeat(1_000) + "\n\n", 0));
+  }
+
+  @Example
+  void testEndlessBlankLinesAreCutOffAndTheStreamResumes() throws IOException {
+    checkResumed(r -> firstEventThen(r, "\n", 0));
+  }
+
+  @Example
+  void testDrippedEventIsNoProgress() throws IOException {
+    checkResumed(r -> firstEventThen(r, "x", 20));
+  }
+
+  @Example
+  void testDrippedCommentsAreNoProgress() throws IOException {
+    checkResumed(r -> firstEventThen(r, ":x\n\n", 20));
+  }
+
   @Example
   void testEndlessEventsEndIncompleteAtTheDeadline() throws IOException {
     try (EdgeFixture edge = EdgeFixture.start(r -> firstEventThen(r, EVENT, 20))) {
