Limit the memory of all unfinished responses together

A backend server in trouble that sent large bodies without end to several requests at once could make the instance run out of memory: each response may take 8 MiB and each event of a stream 1 MiB, the heap of an instance is 48 MiB, and nothing limited their sum.

Now what exchanges hold of responses (unfinished ones and kept errors) is counted together, and beyond 16 MiB the largest is dropped: its connection is closed, a request that may be repeated goes elsewhere, others end as unknown. The largest is the one that most likely has no end; small responses are not touched.

Without the fix EndlessResponseTest.testLargeUnfinishedBodiesOfManyRequestsAreCutOff failed: statuses [504, 504, 504, 504], expected one 502.

--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -35,6 +35,7 @@
   private final Dispatcher dispatcher;
   private final EdgeMetrics metrics;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private final BufferLimit bufferLimit = new BufferLimit();
   private boolean draining;
   private long rejectNewAt = Long.MAX_VALUE;
 
@@ -124,7 +125,12 @@
             .service(request.service())
             .orElseGet(() -> new ServiceInfo(request.service(), Integer.MAX_VALUE, Map.of()));
     Exchange exchange =
-        new Exchange(dispatcher, connection, new ForwardedRequest(head, body, request), service);
+        new Exchange(
+            dispatcher,
+            connection,
+            new ForwardedRequest(head, body, request),
+            service,
+            bufferLimit);
     dispatcher.start(exchange);
     return exchange.isDone() ? Optional.empty() : Optional.of(exchange);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/EdgeLog.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EdgeLog.java
@@ -24,6 +24,16 @@
     return LOGGER.atInfo().setMessage(name);
   }
 
+  /** Logs that a request is sent once more. */
+  static void retry(Exchange exchange, BackendCall ended, String reason) {
+    event("repeat")
+        .addKeyValue("id", exchange.request().id())
+        .addKeyValue("reason", reason)
+        .addKeyValue("from", ended.selection().backend().server().id())
+        .addKeyValue("sends", exchange.sendCount())
+        .log();
+  }
+
   /** Counts a successful request, and returns whether it is to be logged. */
   static boolean sampleSuccess() {
     return SUCCESSES.incrementAndGet() % SUCCESS_SAMPLE_INTERVAL == 0;
--- a/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
@@ -101,6 +101,10 @@
     return pendingBytes > 0;
   }
 
+  int partialBytes() {
+    return pendingBytes;
+  }
+
   boolean isTooLong() {
     return pendingBytes > MAX_EVENT_BYTES;
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -12,9 +12,8 @@
 import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.SendTracker;
+import org.kumquatplank.edge.HeldResponses.ErrorResponse;
 import org.kumquatplank.platform.wire.BackendResponseHead;
-import org.kumquatplank.platform.wire.CallerProtocol;
-import org.kumquatplank.platform.wire.CallerProtocol.LocalResponse;
 
 /**
  * One request of a caller, from its arrival to its final response, with all its retries.
@@ -32,10 +31,10 @@
   private final ForwardedRequest forwarded;
   private final DispatchRequest request;
   private final ServiceInfo service;
+  private final BufferLimit bufferLimit;
   private final SendTracker sendTracker = SendTracker.create();
   private final Set<BackendState> excludedBackends = new HashSet<>();
-  private final EventSplitter events = new EventSplitter();
-  private final ResponseBuffer responseBuffer = new ResponseBuffer();
+  private final HeldResponses held = new HeldResponses();
   private final StreamTimes times;
   private Optional<String> model = Optional.empty();
   private BackendCall call;
@@ -44,24 +43,22 @@
   private boolean queued;
   private boolean streaming;
   private boolean done;
-  private Optional<ErrorResponse> keptErrorResponse = Optional.empty();
 
   Exchange(
       Dispatcher dispatcher,
       ResponseWriter writer,
       ForwardedRequest forwarded,
-      ServiceInfo service) {
+      ServiceInfo service,
+      BufferLimit bufferLimit) {
     this.dispatcher = dispatcher;
     this.writer = writer;
     this.forwarded = forwarded;
     this.request = forwarded.dispatch();
     this.service = service;
+    this.bufferLimit = bufferLimit;
     this.times = new StreamTimes(request.arrivalMicros());
   }
 
-  /** An error response of a backend server, forwarded if no retry gives a better response. */
-  private record ErrorResponse(BackendResponseHead head, ByteBuf body) {}
-
   DispatchRequest request() {
     return request;
   }
@@ -120,7 +117,7 @@
 
   Object backendRequest(BackendCall forCall) {
     String backendId = forCall.selection().backend().server().id();
-    return forwarded.encode(backendId, model, events.lastId());
+    return forwarded.encode(backendId, model, held.events().lastId());
   }
 
   void onConnectFailed(BackendCall ended, String reason) {
@@ -152,14 +149,9 @@
 
   private void retry(BackendCall ended, String reason) {
     excludedBackends.add(ended.selection().backend());
-    events.dropPartial();
-    responseBuffer.clear();
-    EdgeLog.event("repeat")
-        .addKeyValue("id", request.id())
-        .addKeyValue("reason", reason)
-        .addKeyValue("from", ended.selection().backend().server().id())
-        .addKeyValue("sends", sendCount)
-        .log();
+    held.dropUnfinished();
+    recordHeld();
+    EdgeLog.retry(this, ended, reason);
     dispatcher.dispatch(this);
   }
 
@@ -176,29 +168,40 @@
           streaming ? Optional.empty() : dispatcher.largerModel(this, response.confidence());
       if (larger.isPresent() && sendCount < route().maxAttempts() && dispatcher.takeRetry(this)) {
         from.cancel();
-        escalate(from, larger.get(), response);
+        dispatcher.onEscalated(this, from, response.confidence(), larger.get());
+        model = larger;
+        dispatcher.dispatch(this);
       }
     }
   }
 
-  private void escalate(BackendCall from, String larger, BackendResponseHead response) {
-    dispatcher.onEscalated(this, from, response.confidence(), larger);
-    model = Optional.of(larger);
-    dispatcher.dispatch(this);
-  }
-
   void onBody(BackendCall from, BackendResponseHead response, ByteBuf bytes) {
     if (from.hasEnded()) {
       return;
     }
     if (isStream(response)) {
       onStreamBytes(from, response, bytes);
-      return;
+    } else {
+      held.buffer().add(bytes);
+      if (held.buffer().isTooLarge()) {
+        from.cancel();
+        onBrokenResponse(from, "an answer that is too large");
+      }
     }
-    responseBuffer.add(bytes);
-    if (responseBuffer.isTooLarge()) {
-      from.cancel();
-      onBrokenResponse(from, "an answer that is too large");
+    recordHeld();
+  }
+
+  private void recordHeld() {
+    bufferLimit.record(this, done ? 0 : held.size());
+  }
+
+  /** Drops what is held, and ends an open call, when responses take too much memory in total. */
+  void dropHeldResponses() {
+    held.dropAll();
+    recordHeld();
+    if (call != null && !call.hasEnded()) {
+      call.cancel();
+      onBrokenResponse(call, "an answer for which there is no memory");
     }
   }
 
@@ -207,16 +210,16 @@
   }
 
   private void onStreamBytes(BackendCall from, BackendResponseHead response, ByteBuf bytes) {
-    int eventsBefore = events.eventCount();
-    Optional<ByteBuf> completeEvents = events.add(bytes);
-    if (events.isTooLong()) {
+    int eventsBefore = held.events().eventCount();
+    Optional<ByteBuf> completeEvents = held.events().add(bytes);
+    if (held.events().isTooLong()) {
       from.cancel();
       onBrokenResponse(from, "an event that is too long");
       return;
     }
     if (completeEvents.isPresent()) {
       beginStream(response);
-      if (events.eventCount() > eventsBefore) {
+      if (held.events().eventCount() > eventsBefore) {
         times.recordEvent(Clock.micros());
       }
       writer.sendEvents(completeEvents.get());
@@ -253,17 +256,17 @@
     } else {
       dispatcher.onSuccess(this, from, 1);
       finish("answered");
-      writer.respond(response.status(), response.forwardedHeaders(), responseBuffer.take());
+      writer.respond(response.status(), response.forwardedHeaders(), held.buffer().take());
     }
   }
 
   private void onStreamEnd(BackendCall from, BackendResponseHead response) {
-    if (events.hasPartial()) {
+    if (held.events().hasPartial()) {
       onBrokenResponse(from, "a stream that ends within an event");
       return;
     }
     beginStream(response);
-    dispatcher.onSuccess(this, from, Math.max(1, events.eventCount()));
+    dispatcher.onSuccess(this, from, Math.max(1, held.events().eventCount()));
     finish("streamed");
     writer.endStream();
   }
@@ -281,9 +284,9 @@
 
   private void onErrorResponse(BackendCall from, BackendResponseHead response) {
     dispatcher.onFailure(this, from, "status " + response.status());
-    ErrorResponse failure = new ErrorResponse(response, responseBuffer.take());
+    ErrorResponse failure = new ErrorResponse(response, held.buffer().take());
     if (takeRetry(true)) {
-      keptErrorResponse = Optional.of(failure);
+      held.keepError(failure);
       retry(from, "failed with " + response.status());
     } else if (streaming) {
       abort("the backend server that was to go on failed");
@@ -350,8 +353,8 @@
       abort(reason);
       return;
     }
-    if (keptErrorResponse.isPresent()) {
-      forwardErrorResponse(keptErrorResponse.get());
+    if (held.error().isPresent()) {
+      forwardErrorResponse(held.error().get());
       return;
     }
     SendTracker.FailureOutcome verdict = sendTracker.failureOutcome(timedOut);
@@ -360,9 +363,7 @@
             ? OptionalDouble.of(dispatcher.retryAfterSeconds(this))
             : OptionalDouble.empty();
     finish(verdict + ": " + reason);
-    LocalResponse response = LocalResponse.of(verdict);
-    writer.respond(
-        CallerProtocol.localResponse(response, forwarded.head().attemptId(), retryAfter, reason));
+    writer.respond(forwarded.errorResponse(verdict, retryAfter, reason));
   }
 
   private void abort(String reason) {
@@ -382,6 +383,7 @@
 
   private void finish(String outcome) {
     done = true;
+    recordHeld();
     dispatcher.onDone(this, outcome);
   }
 
@@ -390,6 +392,6 @@
   }
 
   int eventCount() {
-    return events.eventCount();
+    return held.events().eventCount();
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/ResponseBuffer.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ResponseBuffer.java
@@ -31,6 +31,10 @@
     }
   }
 
+  int size() {
+    return size;
+  }
+
   boolean isTooLarge() {
     return size > MAX_BYTES;
   }
--- a/edge/src/test/java/org/kumquatplank/edge/EndlessResponseTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EndlessResponseTest.java
@@ -3,6 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.function.Function;
 import net.jqwik.api.Example;
 import org.kumquatplank.testkit.fleet.FakeBackendServer;
@@ -193,4 +198,25 @@
       edge.await(() -> edge.backend(0).endlessResponses() == 0);
     }
   }
+
+  // Together such bodies are larger than the memory of an instance; each for itself is allowed.
+  @Example
+  void testLargeUnfinishedBodiesOfManyRequestsAreCutOff() throws Exception {
+    String large = "x".repeat(6 * 1024 * 1024);
+    Function<Received, Behaviour> unfinished =
+        r -> new Behaviour.Endless(FakeBackendServer.openHead(r) + "\r\n" + large, "x", 20);
+    try (EdgeFixture edge = EdgeFixture.start(unfinished, unfinished, unfinished, unfinished);
+        ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+      List<Future<String>> responses = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        String id = "u" + i;
+        responses.add(callers.submit(() -> edge.send("POST", "/order/x", id, "")));
+      }
+      List<Integer> statuses = new ArrayList<>();
+      for (Future<String> response : responses) {
+        statuses.add(EdgeFixture.status(response.get()));
+      }
+      assertThat(statuses).contains(502).allMatch(s -> s == 502 || s == 504);
+    }
+  }
 }
