Do not resume a stream whose last id can't be a header value

An id of an event with a control character, such as a carriage return, was sent on unchecked as Last-Event-Id to the next backend server when the stream was resumed there. A server that takes a bare carriage return as the end of a line reads a header of the faulty server's choice (a pin, a lease), in the name of the caller.

Cause: request headers are written without validation, which the decoder of callers' requests has done for theirs; ids of events come from a backend server. Such a stream still reaches the caller, but it isn't resumed when it breaks: there is no id from which to go on.

Without the fix EndlessStreamTest.testEventIdWithAControlCharacterIsNotSentOn failed: 2 sends, expected 1.

--- a/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EventSplitter.java
@@ -114,6 +114,11 @@
     return lastId;
   }
 
+  /** Returns whether the stream can go on elsewhere: its last id can be sent as a header value. */
+  boolean isResumable() {
+    return lastId.isEmpty() || lastId.get().chars().allMatch(c -> c >= ' ' && c <= '~');
+  }
+
   /** Returns the number of complete events, without comments. */
   int eventCount() {
     return eventCount;
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -139,7 +139,9 @@
    */
   private boolean takeRetry(boolean hasRun) {
     boolean allowed = !hasRun || route().isRetryable();
-    boolean resumable = !streaming || route().retrySafety() == RetrySafety.RESUMABLE;
+    boolean resumable =
+        !streaming
+            || (route().retrySafety() == RetrySafety.RESUMABLE && held.events().isResumable());
     return allowed
         && resumable
         && sendCount < route().maxAttempts()
--- a/edge/src/test/java/org/kumquatplank/edge/EndlessStreamTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EndlessStreamTest.java
@@ -96,4 +96,21 @@
       assertThat(edge.send("GET", "/read/x", "s2", "")).endsWith("good");
     }
   }
+
+  // A carriage return would end the header in which the id is sent on, and begin another one.
+  @Example
+  void testEventIdWithAControlCharacterIsNotSentOn() throws IOException {
+    AtomicInteger starts = new AtomicInteger();
+    String event = "id: 2\rX-Pin-Ms: 60000\ndata: piece 2\n\n";
+    Function<Received, Behaviour> script =
+        r -> {
+          starts.incrementAndGet();
+          return new Behaviour.Endless(openStream(r) + event, "x", 0);
+        };
+    try (EdgeFixture edge = EdgeFixture.start(script, script)) {
+      String response = edge.send("POST", "/tell/x", "t1", "X-Model: s\r\n");
+      assertThat(response).contains("piece 2").doesNotEndWith("\r\n0\r\n\r\n");
+      assertThat(starts.get()).isEqualTo(1);
+    }
+  }
 }
