Apply the deadline of a call to the whole of it, not to each read

A server that dripped its head, its body or comments of a stream, or sent interim responses without end, kept the caller of PooledHttpClient beyond its deadline for as long as the bytes came: the deadline was set as the timeout of the socket, which starts anew with each read. So an engine could hold a request past its silence limit, and an endpoint the membership or the ratings.

Now the socket checks the deadline before each read. While a connection is pooled there is none, so the stale check of the library works as before. Endless status lines, header lines and chunk extensions were already cut off by the library; tests for them are added.

--- a/http/src/main/java/org/kumquatplank/http/ClientResponse.java
+++ b/http/src/main/java/org/kumquatplank/http/ClientResponse.java
@@ -8,8 +8,6 @@
 import java.util.List;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
-import org.apache.hc.core5.http.io.HttpClientConnection;
-import org.apache.hc.core5.io.CloseMode;
 
 /**
  * A response whose body is read as it arrives.
@@ -22,14 +20,14 @@
 
   private final PooledHttpClient client;
   private final String endpoint;
-  private final HttpClientConnection connection;
+  private final ClientConnection connection;
   private final ClassicHttpResponse response;
   private boolean bodyComplete;
 
   ClientResponse(
       PooledHttpClient client,
       String endpoint,
-      HttpClientConnection connection,
+      ClientConnection connection,
       ClassicHttpResponse response) {
     this.client = client;
     this.endpoint = endpoint;
@@ -62,7 +60,7 @@
       return "";
     }
     try {
-      connection.setSocketTimeout(PooledHttpClient.timeoutUntil(deadline));
+      connection.setDeadline(deadline);
       InputStream in = response.getEntity().getContent();
       byte[] bytes = in.readNBytes(MAX_BODY_BYTES);
       bodyComplete = in.read() < 0;
@@ -75,14 +73,12 @@
   /** Returns a reader of the events of an event stream. */
   public EventReader events() throws IOException {
     return new EventReader(
-        response.getEntity().getContent(),
-        deadline -> connection.setSocketTimeout(PooledHttpClient.timeoutUntil(deadline)),
-        () -> bodyComplete = true);
+        response.getEntity().getContent(), connection::setDeadline, () -> bodyComplete = true);
   }
 
   /** Closes the connection immediately; a blocked read fails. */
   public void cancel() {
-    connection.close(CloseMode.IMMEDIATE);
+    connection.close();
   }
 
   @Override
@@ -90,7 +86,7 @@
     if (bodyComplete && connection.isOpen()) {
       client.returnToPool(endpoint, connection);
     } else {
-      connection.close(CloseMode.IMMEDIATE);
+      connection.close();
     }
   }
 }
--- a/http/src/main/java/org/kumquatplank/http/PooledHttpClient.java
+++ b/http/src/main/java/org/kumquatplank/http/PooledHttpClient.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -16,7 +15,6 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
-import org.apache.hc.core5.http.io.HttpClientConnection;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
@@ -26,8 +24,6 @@
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.http.protocol.RequestUserAgent;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.util.Timeout;
 
 /**
  * An HTTP client that reports for a failed request whether it may have been sent.
@@ -48,7 +44,6 @@
   /** Idle time from which a pooled connection is checked for closure before its reuse. */
   private static final Duration STALE_CHECK_IDLE_TIME = Duration.ofSeconds(1);
 
-  private static final long MIN_TIMEOUT_MILLIS = 1;
   // Doesn't send Expect: 100-continue: a server that has already read a small body may omit the
   // interim response, for which the client would then wait for seconds.
   private static final HttpProcessor PROCESSOR =
@@ -76,7 +71,7 @@
   }
 
   /** A pooled connection and the time until which it may be reused. */
-  private record IdleConnection(HttpClientConnection connection, Instant expiresAt) {}
+  private record IdleConnection(ClientConnection connection, Instant expiresAt) {}
 
   /** Returns a client with an empty pool. */
   public static PooledHttpClient create() {
@@ -91,17 +86,17 @@
    * @throws CallException when no response arrives; reports whether the request may have been sent
    */
   public ClientResponse send(String endpoint, Request request, Instant deadline, Reuse reuse) {
-    HttpClientConnection connection = connect(endpoint, reuse);
+    ClientConnection connection = connect(endpoint, reuse);
     try {
-      connection.setSocketTimeout(timeoutUntil(deadline));
+      connection.setDeadline(deadline);
       HttpCoreContext context = HttpCoreContext.create();
       BasicClassicHttpRequest httpRequest = toMessage(endpoint, request);
       executor.preProcess(httpRequest, PROCESSOR, context);
-      ClassicHttpResponse response = executor.execute(httpRequest, connection, context);
+      ClassicHttpResponse response = executor.execute(httpRequest, connection.http(), context);
       executor.postProcess(response, PROCESSOR, context);
       return new ClientResponse(this, endpoint, connection, response);
     } catch (IOException | HttpException | RuntimeException e) {
-      connection.close(CloseMode.IMMEDIATE);
+      connection.close();
       throw CallException.maybeSent(endpoint, e);
     }
   }
@@ -134,9 +129,9 @@
     }
   }
 
-  private HttpClientConnection connect(String endpoint, Reuse reuse) {
+  private ClientConnection connect(String endpoint, Reuse reuse) {
     if (reuse == Reuse.REUSE) {
-      Optional<HttpClientConnection> pooled = takeIdle(endpoint);
+      Optional<ClientConnection> pooled = takeIdle(endpoint);
       if (pooled.isPresent()) {
         return pooled.get();
       }
@@ -144,25 +139,25 @@
     try {
       int colon = endpoint.lastIndexOf(':');
       int port = Integer.parseInt(endpoint.substring(colon + 1));
-      Socket socket = new Socket();
+      DeadlineSocket socket = new DeadlineSocket();
       socket.setTcpNoDelay(true);
       socket.connect(
           new InetSocketAddress(endpoint.substring(0, colon), port),
           (int) CONNECT_TIMEOUT.toMillis());
-      return connections.createConnection(socket);
+      return new ClientConnection(connections.createConnection(socket), socket);
     } catch (IOException | RuntimeException e) {
       throw CallException.notSent(endpoint, e);
     }
   }
 
-  private Optional<HttpClientConnection> takeIdle(String endpoint) {
+  private Optional<ClientConnection> takeIdle(String endpoint) {
     Deque<IdleConnection> pooled = idle.get(endpoint);
     IdleConnection next = pooled == null ? null : pooled.pollLast();
     while (next != null) {
       if (isUsable(next)) {
         return Optional.of(next.connection());
       }
-      next.connection().close(CloseMode.IMMEDIATE);
+      next.connection().close();
       next = pooled.pollLast();
     }
     return Optional.empty();
@@ -188,7 +183,8 @@
     }
   }
 
-  void returnToPool(String endpoint, HttpClientConnection connection) {
+  void returnToPool(String endpoint, ClientConnection connection) {
+    connection.clearDeadline();
     idle.computeIfAbsent(endpoint, e -> new ConcurrentLinkedDeque<>())
         .addLast(new IdleConnection(connection, Instant.now().plus(IDLE_TIMEOUT)));
   }
@@ -197,7 +193,7 @@
   public void discardIdle(String endpoint) {
     Deque<IdleConnection> pooled = idle.remove(endpoint);
     if (pooled != null) {
-      pooled.forEach(i -> i.connection().close(CloseMode.IMMEDIATE));
+      pooled.forEach(i -> i.connection().close());
     }
   }
 
@@ -220,9 +216,4 @@
     return new HttpHost(
         endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1)));
   }
-
-  static Timeout timeoutUntil(Instant deadline) {
-    long millis = Duration.between(Instant.now(), deadline).toMillis();
-    return Timeout.ofMilliseconds(Math.max(MIN_TIMEOUT_MILLIS, millis));
-  }
 }
