--- a/http/src/test/java/org/kumquatplank/http/EndlessResponseClientTest.java
+++ b/http/src/test/java/org/kumquatplank/http/EndlessResponseClientTest.java
@@ -79,6 +79,19 @@
         server.endpoint(), Request.get("/"), Instant.now().plusSeconds(5), Reuse.FRESH);
   }
 
+  @Example
+  void testEndlessLineOfAnEventIsCutOff() throws IOException {
+    String event = OPEN_HEAD + "\r\ndata: 1\n\ndata: ";
+    try (EndlessResponseServer server = EndlessResponseServer.open(event, "x", 0);
+        ClientResponse response = stream(server)) {
+      EventReader events = response.events();
+      assertThat(events.next(Instant.now().plusSeconds(30))).contains("1");
+      assertThatThrownBy(() -> events.next(Instant.now().plusSeconds(30)))
+          .isInstanceOf(IOException.class)
+          .isNotInstanceOf(SocketTimeoutException.class);
+    }
+  }
+
   @Example
   void testCommentsDoNotKeepAStreamWaitingBeyondTheDeadline() throws IOException {
     try (EndlessResponseServer server =
