Report a body that exceeds the limit instead of cutting it off

A response of more than 64 MiB was returned as its first 64 MiB, as if it were whole: ClientResponse.readBody stopped at the limit and only kept the connection out of the pool. Now the call fails, as for a body that breaks off.

Without the fix EndlessResponseClientTest.testBodyBeyondTheLimitIsAnError failed: no exception.

--- a/http/src/main/java/org/kumquatplank/http/ClientResponse.java
+++ b/http/src/main/java/org/kumquatplank/http/ClientResponse.java
@@ -52,7 +52,7 @@
   /**
    * Returns the body as text.
    *
-   * @throws CallException when the body does not end by the deadline
+   * @throws CallException when the body does not end by the deadline or is too large
    */
   public String readBody(Instant deadline) {
     if (response.getEntity() == null) {
@@ -64,6 +64,9 @@
       InputStream in = response.getEntity().getContent();
       byte[] bytes = in.readNBytes(MAX_BODY_BYTES);
       bodyComplete = in.read() < 0;
+      if (!bodyComplete) {
+        throw new IOException("the body is too large");
+      }
       return new String(bytes, StandardCharsets.UTF_8);
     } catch (IOException e) {
       throw CallException.maybeSent(endpoint, e);
--- a/http/src/test/java/org/kumquatplank/http/EndlessResponseClientTest.java
+++ b/http/src/test/java/org/kumquatplank/http/EndlessResponseClientTest.java
@@ -59,6 +59,11 @@
     checkCutOff(OPEN_HEAD + "Transfer-Encoding: chunked\r\n\r\n1;", "x");
   }
 
+  @Example
+  void testBodyBeyondTheLimitIsAnError() throws IOException {
+    checkCutOff(OPEN_HEAD + "\r\n", "x");
+  }
+
   @Example
   void testEndlessInformationalResponsesEndAtTheDeadline() throws IOException {
     checkTimesOut("", "HTTP/1.1 102 Processing\r\n\r\n", 0);
