--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/ForwardedRequest.java
@@ -0,0 +1,63 @@
+package org.kumquatplank.edge;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.kumquatplank.core.dispatch.DispatchRequest;
+import org.kumquatplank.core.dispatch.SendTracker;
+import org.kumquatplank.platform.wire.BackendProtocol;
+import org.kumquatplank.platform.wire.CallerProtocol;
+import org.kumquatplank.platform.wire.CallerProtocol.LocalResponse;
+import org.kumquatplank.platform.wire.CallerRequestHead;
+
+/** A request of a caller as it is sent on to backend servers. Immutable. */
+final class ForwardedRequest {
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private final CallerRequestHead head;
+  private final byte[] body;
+  private final DispatchRequest dispatch;
+
+  ForwardedRequest(CallerRequestHead head, byte[] body, DispatchRequest dispatch) {
+    this.head = head;
+    this.body = body;
+    this.dispatch = dispatch;
+  }
+
+  CallerRequestHead head() {
+    return head;
+  }
+
+  DispatchRequest dispatch() {
+    return dispatch;
+  }
+
+  /**
+   * Encodes the request for a backend server.
+   *
+   * @param lastSentEvent id of the last event that was sent to the caller
+   */
+  Object encode(String backendId, Optional<String> model, Optional<String> lastSentEvent) {
+    long remainingMillis =
+        Math.max(1, (dispatch.deadlineMicros() - Clock.micros()) / MICROS_PER_MILLI);
+    Optional<String> account =
+        dispatch.account().isEmpty() ? Optional.empty() : Optional.of(dispatch.account());
+    return BackendProtocol.request(
+        head,
+        body,
+        new BackendProtocol.AddedHeaders(
+            remainingMillis,
+            backendId,
+            account,
+            model,
+            dispatch.priority(),
+            lastSentEvent.or(head::lastEventId)));
+  }
+
+  /** Returns the response of this router to a request that no backend server has answered. */
+  FullHttpResponse errorResponse(
+      SendTracker.FailureOutcome outcome, OptionalDouble retryAfter, String reason) {
+    return CallerProtocol.localResponse(
+        LocalResponse.of(outcome), head.attemptId(), retryAfter, reason);
+  }
+}
