Keep the configuration and its confirmation in one place

A confirmation could overtake the configuration that it belongs to on its way to the traffic thread, so that for a moment an older configuration counted as confirmed (found by review; a window of microseconds, no test). Both now go by the queue of that thread.

--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -45,7 +45,8 @@
   }
 
   CallerConnection open() {
-    CallerLimits limits = dispatcher.catalog().map(Catalog::limits).orElse(CallerLimits.INITIAL);
+    CallerLimits limits =
+        dispatcher.catalog().catalog().map(Catalog::limits).orElse(CallerLimits.INITIAL);
     CallerConnection connection = new CallerConnection(this, limits);
     connections.add(connection);
     return connection;
@@ -92,7 +93,8 @@
       return Optional.empty();
     }
     long now = Clock.micros();
-    if (dispatcher.catalog().isEmpty()) {
+    Optional<Catalog> catalog = dispatcher.catalog().catalog();
+    if (catalog.isEmpty()) {
       rejectNotRun(connection, head, NOT_READY_RETRY_SECONDS, "no configuration is known yet");
       return Optional.empty();
     }
@@ -100,7 +102,7 @@
       rejectNotRun(connection, head, DRAINING_RETRY_SECONDS, "this instance is leaving");
       return Optional.empty();
     }
-    return admit(connection, head, body, dispatcher.catalog().get(), now);
+    return admit(connection, head, body, catalog.get(), now);
   }
 
   private Optional<Exchange> admit(
@@ -164,14 +166,14 @@
         connection, head.attemptId(), LocalResponse.NOT_RUN, OptionalDouble.of(retryAfter), reason);
   }
 
-  /** A newer configuration may have what an outdated one lacks. */
+  /** Answers 503 if the configuration is outdated, as a newer one may have the key or route. */
   private void rejectUnknown(
       CallerConnection connection,
       CallerRequestHead head,
       LocalResponse answer,
       String reason,
       long now) {
-    if (dispatcher.isCatalogOutdated(now)) {
+    if (dispatcher.catalog().isOutdated(now)) {
       String outdated = reason + ", but the configuration is not confirmed to be current";
       rejectNotRun(connection, head, NOT_READY_RETRY_SECONDS, outdated);
     } else {
@@ -190,13 +192,14 @@
       LocalResponse answer,
       OptionalDouble retryAfter,
       String reason) {
+    ConfirmedCatalog catalog = dispatcher.catalog();
     metrics.count("refused_" + answer.status());
     EdgeLog.event("refused")
         .addKeyValue("id", id.orElse(""))
         .addKeyValue("status", answer.status())
         .addKeyValue("reason", reason)
-        .addKeyValue("catalog", dispatcher.catalog().map(Catalog::version).orElse(-1L))
-        .addKeyValue("catalog_age_ms", dispatcher.catalogAgeMicros(Clock.micros()) / 1_000)
+        .addKeyValue("catalog", catalog.catalog().map(Catalog::version).orElse(-1L))
+        .addKeyValue("catalog_age_ms", catalog.ageMicros(Clock.micros()) / MICROS_PER_MILLI)
         .log();
     connection.respond(CallerProtocol.localResponse(answer, id, retryAfter, reason));
   }
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -156,11 +156,11 @@
   }
 
   void setCatalog(Catalog catalog) {
-    loop.execute(() -> dispatcher.setCatalog(catalog));
+    loop.execute(() -> dispatcher.catalog().set(catalog));
   }
 
   void setCatalogConfirmedAt(long at) {
-    dispatcher.setCatalogConfirmedAt(at);
+    loop.execute(() -> dispatcher.catalog().setConfirmedAt(at));
   }
 
   void setServers(List<BackendServer> servers) {
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -10,7 +10,6 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import org.kumquatplank.core.catalog.BackendServer;
-import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
@@ -47,6 +46,7 @@
   private final EdgeSettings settings;
   private final BackendPool pool;
   private final EdgeMetrics metrics;
+  private final ConfirmedCatalog catalog;
   private final BackendRegistry registry = BackendRegistry.create();
   private final BackendSelector selector;
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
@@ -56,8 +56,6 @@
   private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private Map<String, VersionRule> versionRules = Map.of();
-  private Optional<Catalog> catalog = Optional.empty();
-  private volatile long catalogConfirmedAt = Clock.micros();
   private boolean serversKnown;
   private int liveInstances = 1;
   private Runnable onFirstExchange = () -> {};
@@ -67,15 +65,12 @@
     this.settings = settings;
     this.pool = pool;
     this.metrics = metrics;
+    this.catalog = ConfirmedCatalog.create(settings.limits().configPropagationMillis());
     this.selector =
         BackendSelector.create(
             new Locality(settings.zone(), settings.regions()), new PrefillRate());
   }
 
-  void setCatalog(Catalog newCatalog) {
-    catalog = Optional.of(newCatalog);
-  }
-
   void setServers(Collection<BackendServer> servers) {
     serversKnown = true;
     registry.setServers(servers);
@@ -94,32 +89,12 @@
     registry.setPeerLoads(peer, loads, Clock.micros());
   }
 
-  /**
-   * Sets when the store last confirmed the configuration, microseconds.
-   *
-   * <p>May be called from any thread.
-   */
-  void setCatalogConfirmedAt(long at) {
-    catalogConfirmedAt = at;
-  }
-
-  /** Returns the time since the store last confirmed the configuration, microseconds. */
-  long catalogAgeMicros(long now) {
-    return now - catalogConfirmedAt;
-  }
-
-  /** Returns whether a newer configuration may be in force by now. */
-  boolean isCatalogOutdated(long now) {
-    long maxAgeMicros = settings.limits().configPropagationMillis() * MICROS_PER_MILLI;
-    return catalogAgeMicros(now) > maxAgeMicros;
-  }
-
-  Optional<Catalog> catalog() {
+  ConfirmedCatalog catalog() {
     return catalog;
   }
 
   boolean isReady() {
-    return catalog.isPresent() && serversKnown;
+    return catalog.catalog().isPresent() && serversKnown;
   }
 
   BackendPool pool() {
