Apply updates that leave a gap, and pass on only what peers may lack

An instance that the store turns away refused every update that begins after its offset, also the newest configuration in it: a revoked key was served until the store was back. Such changes are applied now; the position stays, and what is missing is read. A record that a peer sent could replace a newer one of the listing: a draining backend server was used again. The offset of each key that is ahead of the position is kept. Only what was applied during the read, or ahead of it, is passed on unconditionally. Any applied update cleared the mark of a gap. An update older than the state, delayed or sent after a pause, counted as a confirmation. A version that is never reached kept an instance catching up for ever, and a version of which it had just heard inherited the time of the one before. An exception in a periodic task of the control thread ended it for good (no test).

--- a/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/TopicCursor.java
@@ -1,6 +1,7 @@
 package org.kumquatplank.core.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,9 +10,11 @@
 import java.util.function.UnaryOperator;
 
 /**
- * The position of an instance in a topic, whose changes it reads or receives from peers.
+ * Tracks which changes of a topic an instance has applied; it reads them or receives them from
+ * peers.
  *
- * <p>All changes below the next offset have been applied. Not thread-safe.
+ * <p>All changes below the next offset have been applied. Single keys may be further ahead, after a
+ * listing or an update that left a gap. Not thread-safe.
  *
  * @param <T> change
  */
@@ -20,11 +23,17 @@
 
   private final ToLongFunction<T> offsetOf;
   private final Function<T, String> keyOf;
+
+  /** Offset of the newest change of each key that was applied ahead of the position. */
+  private final Map<String, Long> appliedByKey = new HashMap<>();
+
   private final Map<String, T> receivedWhileListing = new LinkedHashMap<>();
+  private final List<T> receivedWhileReading = new ArrayList<>();
   private long nextOffset = UNKNOWN;
+  private long gapEnd = UNKNOWN;
   private boolean listing;
-  private long listedUntil = UNKNOWN;
-  private boolean gap;
+  private boolean reading;
+  private boolean readRequested;
 
   private TopicCursor(ToLongFunction<T> offsetOf, Function<T, String> keyOf) {
     this.offsetOf = offsetOf;
@@ -46,14 +55,14 @@
     return nextOffset;
   }
 
-  /** Returns whether a peer has sent later changes than the next ones, so that some are missing. */
+  /** Returns whether a peer has later changes than the next ones, so that some are missing. */
   public boolean hasGap() {
-    return gap;
+    return readRequested || nextOffset < gapEnd;
   }
 
-  /** Records that a peer has applied later changes. */
-  public void markGap() {
-    gap = true;
+  /** Requests a read, since a peer has applied later changes. */
+  public void requestRead() {
+    readRequested = true;
   }
 
   /** Records that a listing of the newest records has begun. */
@@ -81,7 +90,8 @@
     receivedWhileListing.clear();
     listing = false;
     nextOffset = Math.max(nextOffset, listed.next());
-    listedUntil = newest.values().stream().mapToLong(c -> offset(c) + 1).max().orElse(UNKNOWN);
+    appliedByKey.clear();
+    newest.values().forEach(this::recordApplied);
     return List.copyOf(newest.values());
   }
 
@@ -89,12 +99,32 @@
     return offset(first) >= offset(second) ? first : second;
   }
 
+  private long offset(T change) {
+    return offsetOf.applyAsLong(change);
+  }
+
+  private void recordApplied(T change) {
+    appliedByKey.merge(keyOf.apply(change), offset(change), Math::max);
+  }
+
+  /** Returns the offset from which to read, and records that a read has begun. */
+  public long beginRead() {
+    reading = true;
+    receivedWhileReading.clear();
+    return nextOffset;
+  }
+
+  /** Records that a read has failed. */
+  public void onReadFailed() {
+    reading = false;
+    receivedWhileReading.clear();
+  }
+
   /**
    * Applies a read of the topic.
    *
-   * <p>Changes that a peer sent while the read was under way are not applied again, but are part of
-   * the update: its receivers may not have heard of that peer. The same holds for changes that the
-   * listing already had.
+   * <p>Changes that were applied before, from a peer or the listing, are not applied again, but are
+   * part of the update: its receivers may not have heard of them.
    *
    * @param read the records that were read
    * @param applier applies changes in order, and returns all but those that repeat the value of
@@ -102,42 +132,65 @@
    * @return the update for peers, which holds every change of its range
    */
   public TopicUpdate<T> onRead(TopicUpdate<T> read, UnaryOperator<List<T>> applier) {
-    long wholeUntil = Math.max(nextOffset, listedUntil);
     List<T> changes = new ArrayList<>();
-    read.changes().stream().filter(c -> offset(c) < wholeUntil).forEach(changes::add);
-    apply(read, applier).stream().filter(c -> offset(c) >= wholeUntil).forEach(changes::add);
+    receivedWhileReading.stream()
+        .filter(c -> offset(c) >= read.from() && offset(c) < read.next())
+        .forEach(changes::add);
+    read.changes().stream()
+        .filter(c -> offset(c) >= nextOffset && isApplied(c))
+        .forEach(changes::add);
+    reading = false;
+    readRequested = false;
+    receivedWhileReading.clear();
+    changes.addAll(apply(read.changes(), applier));
+    advanceTo(read.next());
     return new TopicUpdate<>(read.from(), read.next(), changes);
   }
 
-  private long offset(T change) {
-    return offsetOf.applyAsLong(change);
-  }
-
   /**
-   * Applies an update of a peer, unless it begins after the next offset.
+   * Applies an update of a peer.
+   *
+   * <p>If it begins after the next offset, the position stays, so that what is missing is read; the
+   * changes that it holds are applied all the same, as this instance may be unable to read.
    *
    * @param applier applies changes in order
-   * @return whether the update was applied
+   * @return whether the update continues at this position
    */
   public boolean onUpdate(TopicUpdate<T> update, UnaryOperator<List<T>> applier) {
     if (nextOffset == UNKNOWN) {
       return false;
     }
-    if (update.from() > nextOffset) {
-      gap = true;
-      return false;
-    }
     if (listing) {
       update.changes().forEach(c -> receivedWhileListing.merge(keyOf.apply(c), c, this::later));
     }
-    apply(update, applier);
-    return true;
+    boolean continues = update.from() <= nextOffset;
+    if (reading && continues) {
+      update.changes().stream()
+          .filter(c -> offset(c) >= nextOffset)
+          .forEach(receivedWhileReading::add);
+    }
+    apply(update.changes(), applier);
+    if (continues) {
+      advanceTo(update.next());
+    } else {
+      gapEnd = Math.max(gapEnd, update.from());
+    }
+    return continues;
+  }
+
+  private void advanceTo(long next) {
+    nextOffset = Math.max(nextOffset, next);
+    appliedByKey.values().removeIf(offset -> offset < nextOffset);
+  }
+
+  private boolean isApplied(T change) {
+    return offset(change) <= appliedByKey.getOrDefault(keyOf.apply(change), UNKNOWN);
   }
 
-  private List<T> apply(TopicUpdate<T> update, UnaryOperator<List<T>> applier) {
-    List<T> unapplied = update.changes().stream().filter(c -> offset(c) >= nextOffset).toList();
-    nextOffset = Math.max(nextOffset, update.next());
-    gap = false;
+  private List<T> apply(List<T> changes, UnaryOperator<List<T>> applier) {
+    List<T> unapplied =
+        changes.stream().filter(c -> offset(c) >= nextOffset && !isApplied(c)).toList();
+    unapplied.forEach(this::recordApplied);
     return unapplied.isEmpty() ? List.of() : applier.apply(unapplied);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -119,7 +119,7 @@
     InstanceDiscovery.create(settings, loop, store, directory).start();
     sendDigests();
     loop.scheduleAtFixedRate(
-        this::runPeriodicTasks,
+        () -> runLoggingFailures(this::runPeriodicTasks),
         PERIODIC_TASK_INTERVAL_MILLIS,
         PERIODIC_TASK_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -260,8 +260,17 @@
     }
   }
 
+  /** A periodic task that fails once must run again. */
+  private static void runLoggingFailures(Runnable work) {
+    try {
+      work.run();
+    } catch (RuntimeException e) {
+      EdgeLog.problem("control", e);
+    }
+  }
+
   private void sendDigests() {
-    sendDigest();
+    runLoggingFailures(this::sendDigest);
     boolean many = directory.live(Clock.micros()).size() > MANY_INSTANCES;
     long pause = many ? MANY_INSTANCES_DIGEST_INTERVAL_MILLIS : DIGEST_INTERVAL_MILLIS;
     loop.schedule(this::sendDigests, pause, TimeUnit.MILLISECONDS);
@@ -334,7 +343,7 @@
     dataPlane.setPeers(ready, 1 + live.size(), Map.copyOf(receivedLoads));
     receivedLoads.clear();
     dataPlane.setCatalogConfirmedAt(operatorRecords.status().confirmedAt());
-    staleness.catchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::catchUp);
+    staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
     staleness.check(
         catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
@@ -64,7 +64,10 @@
   private final Random random = new Random();
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<InetSocketAddress, Long> probeUntil = new HashMap<>();
-  private final Set<InetSocketAddress> unfollowedReaders = new HashSet<>();
+
+  /** Readers that peers follow and this instance does not; they receive its next digest. */
+  private final Set<InetSocketAddress> readersOfPeers = new HashSet<>();
+
   private String followedReader = "";
   private final Listener listener;
   private Channel channel;
@@ -155,7 +158,7 @@
     String reader = digest.getOperatorReaderAddress();
     boolean unfollowed = !reader.isEmpty() && !reader.equals(followedReader);
     if (unfollowed && digest.getRegion().equals(region)) {
-      unfollowedReaders.add(SettingsDecoder.address(reader));
+      readersOfPeers.add(SettingsDecoder.address(reader));
     }
     listener.onDigest(digest);
   }
@@ -180,8 +183,8 @@
     }
     chooseReceivers(live).forEach(peer -> write(bytes, peer.address()));
     // A reader sends its updates only to peers whose digests it has received.
-    unfollowedReaders.forEach(a -> write(bytes, a));
-    unfollowedReaders.clear();
+    readersOfPeers.forEach(a -> write(bytes, a));
+    readersOfPeers.clear();
     probeUntil.values().removeIf(until -> until < now);
     if (round % PROBE_ROUND_INTERVAL == 0) {
       List<InetSocketAddress> targets = new ArrayList<>(probeUntil.keySet());
--- a/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
@@ -9,10 +9,10 @@
  * <p>Confined to the control thread.
  */
 final class StalenessMonitor {
-  /** A newer configuration that a peer names is usually under way to this instance. */
+  /** Longer than an instance takes that catches up. */
   private static final long REPORT_AFTER_MICROS = 1_000_000;
 
-  /** Longer than an update takes that is under way to this instance. */
+  /** Time that an update under way may take. */
   private static final long CATCH_UP_AFTER_MICROS = 400_000;
 
   /** A peer may have a configuration that this instance can't read; reading again does not help. */
@@ -21,9 +21,16 @@
   private static final long REPORT_INTERVAL_MICROS = 2_000_000;
   private static final long NOT_BEHIND = Long.MAX_VALUE;
 
+  /** Time after which a version that no peer names any more is forgotten. */
+  private static final long FORGET_AFTER_MICROS = 10_000_000;
+
+  private static final EdgeDigest NONE = EdgeDigest.newBuilder().setCatalogVersion(-1).build();
+
   private final EdgeMetrics metrics;
   private final LogThrottle throttle = LogThrottle.create(REPORT_INTERVAL_MICROS);
-  private EdgeDigest newest = EdgeDigest.newBuilder().setCatalogVersion(-1).build();
+  private EdgeDigest newest = NONE;
+  private long newestSeenAt;
+  private long awaitedVersion = -1;
   private long behindSince = NOT_BEHIND;
   private long nextCatchUpAt = Long.MIN_VALUE;
 
@@ -33,11 +40,22 @@
 
   /** Records the version that a peer names. */
   void onDigest(EdgeDigest digest, long ownVersion, long now) {
-    if (digest.getCatalogVersion() > newest.getCatalogVersion()) {
+    if (digest.getCatalogVersion() >= newest.getCatalogVersion()) {
       newest = digest;
+      newestSeenAt = now;
+    }
+    update(ownVersion, now);
+  }
+
+  private void update(long ownVersion, long now) {
+    if (now - newestSeenAt > FORGET_AFTER_MICROS) {
+      newest = NONE;
     }
-    if (newest.getCatalogVersion() > ownVersion && behindSince == NOT_BEHIND) {
+    if (newest.getCatalogVersion() <= ownVersion) {
+      behindSince = NOT_BEHIND;
+    } else if (behindSince == NOT_BEHIND || awaitedVersion <= ownVersion) {
       behindSince = now;
+      awaitedVersion = newest.getCatalogVersion();
     }
   }
 
@@ -45,10 +63,8 @@
    * Returns the offset of a peer that has had a newer configuration for a while, if this instance
    * is to catch up now.
    */
-  OptionalLong catchUpOffset(long ownVersion, long now) {
-    if (newest.getCatalogVersion() <= ownVersion) {
-      behindSince = NOT_BEHIND;
-    }
+  OptionalLong takeCatchUpOffset(long ownVersion, long now) {
+    update(ownVersion, now);
     boolean behind = behindSince != NOT_BEHIND && now - behindSince > CATCH_UP_AFTER_MICROS;
     if (!behind || now < nextCatchUpAt) {
       return OptionalLong.empty();
@@ -73,9 +89,8 @@
     metrics.gauge("live_peers", livePeers);
     setTopicGauges("op", operator, now);
     setTopicGauges("servers", servers, now);
-    if (newest.getCatalogVersion() <= ownVersion) {
-      behindSince = NOT_BEHIND;
-    } else if (now - behindSince > REPORT_AFTER_MICROS) {
+    update(ownVersion, now);
+    if (behindSince != NOT_BEHIND && now - behindSince > REPORT_AFTER_MICROS) {
       throttle.pass(now).ifPresent(omitted -> report(ownVersion, operator, livePeers, now));
     }
   }
@@ -87,7 +102,7 @@
     metrics.gauge("topic_following" + label, status.following() ? 1 : 0);
   }
 
-  /** An own offset not below the peer's tells a lost change from one that is still to come. */
+  /** If the own offset is not below the peer's, a change was lost; otherwise it is to come. */
   private void report(long ownVersion, StoreFollower.Status operator, int livePeers, long now) {
     EdgeLog.event("behind")
         .addKeyValue("version", ownVersion)
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -69,7 +69,7 @@
    * How current this instance is in the topic.
    *
    * @param nextOffset offset up to which all changes have been applied, or -1 before the snapshot
-   * @param confirmedAt when the store last confirmed that there was nothing newer, microseconds
+   * @param confirmedAt when the last answer of the store or update of a peer arrived, microseconds
    * @param lastSource who delivered the last records: "store", or the name of a peer
    * @param following whether a peer reads the topic for this instance
    */
@@ -102,17 +102,17 @@
   }
 
   /**
-   * Reads what this instance lacks, although a peer may be reading the topic for it.
+   * Requests to read what this instance lacks, although a peer may be reading the topic for it.
    *
-   * <p>If this instance has passed the offset of the peer, a change was lost below it, and the
+   * <p>If this instance has reached the offset of the peer, a change was lost below it, and the
    * topic is listed anew.
    *
    * @param peerOffset offset of a peer that has a newer state
    */
-  void catchUp(long peerOffset) {
+  void requestCatchUp(long peerOffset) {
     if (peerOffset > cursor.nextOffset()) {
-      cursor.markGap();
-    } else {
+      cursor.requestRead();
+    } else if (!cursor.isListing()) {
       listingRequested = true;
     }
   }
@@ -168,12 +168,13 @@
   }
 
   private void read() {
-    long from = cursor.nextOffset();
+    long from = cursor.beginRead();
     store
         .read(topic.name(), from, topic.waitMillis())
         .whenComplete(
             (page, failure) -> {
               if (failure != null) {
+                cursor.onReadFailed();
                 onReadFailed(
                     failure, isBeyondRetention(failure) ? this::readSnapshot : this::readIfElected);
                 return;
@@ -201,12 +202,13 @@
 
   /**
    * Applies an update of a peer. If it begins after the next expected offset, the gap is read from
-   * the store instead.
+   * the store.
    */
   void onUpdate(String sender, TopicUpdate<StoreRecord> update, long confirmedAt) {
     AtomicBoolean applied = new AtomicBoolean();
     runLoggingFailures(() -> applied.set(cursor.onUpdate(update, r -> apply(r, sender))));
-    if (!applied.get()) {
+    boolean outdated = update.next() < cursor.nextOffset();
+    if (!applied.get() || outdated) {
       return;
     }
     election.recordConfirmation(sender, confirmedAt);
