--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -111,6 +111,11 @@
     return backends.get(number);
   }
 
+  /** Returns the address for traffic between instances. */
+  InetSocketAddress peerAddress() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), settings.firstPeerPort());
+  }
+
   DataPlane dataPlane() {
     return dataPlane;
   }
