Log the segments and the progress of a request that a backend server lost

The log told neither what the requests that were lost in a crash have in common nor whether their response had begun, so a crash caused by a segment could not be told from other ends.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/DispatchRequest.java
@@ -45,6 +45,11 @@
     return arrivalMicros + route.latencyTargetMillis() * MICROS_PER_MILLI;
   }
 
+  /** Returns the segments that other requests may share, in order. */
+  public List<PromptSegment> sharedSegments() {
+    return promptSegments.subList(0, Math.max(0, promptSegments.size() - 1));
+  }
+
   /** Returns the last shareable segment, whose id identifies the longest shared prompt prefix. */
   public Optional<PromptSegment> lastSharedSegment() {
     return promptSegments.size() < 2
@@ -54,10 +59,6 @@
 
   /** Returns the number of tokens of the shared prompt prefix. */
   public int sharedPrefixTokens() {
-    int sum = 0;
-    for (int i = 0; i < promptSegments.size() - 1; i++) {
-      sum += promptSegments.get(i).tokens();
-    }
-    return sum;
+    return sharedSegments().stream().mapToInt(PromptSegment::tokens).sum();
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
@@ -18,6 +19,7 @@
 import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.PrefillRate;
+import org.kumquatplank.core.dispatch.PromptSegment;
 import org.kumquatplank.core.dispatch.RetryLimit;
 import org.kumquatplank.core.dispatch.SilenceTimeout;
 import org.kumquatplank.core.dispatch.VersionRule;
@@ -336,9 +338,17 @@
         .addKeyValue("backend", backend.server().id())
         .addKeyValue("version", backend.server().softwareVersion())
         .addKeyValue("reason", reason)
+        .addKeyValue("events", exchange.eventCount())
+        .addKeyValue("segments", segmentIds(exchange.request()))
         .log();
   }
 
+  private static String segmentIds(DispatchRequest request) {
+    return request.sharedSegments().stream()
+        .map(PromptSegment::id)
+        .collect(Collectors.joining(","));
+  }
+
   void onSilent(Exchange exchange, BackendCall call, long silentMicros) {
     BackendState backend = call.selection().backend();
     backend.recordFailure(Clock.micros());
