--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -94,6 +94,7 @@
       FakeBackendServer backend = FakeBackendServer.open(HOST, id, script);
       fixture.backends.add(backend);
       fixture.store.put("servers", id, backend.entry("pool", "ready"));
+      backend.onRestart(endedId -> fixture.replaceEntry(endedId, backend));
     }
     ControlPlane control =
         new ControlPlane(fixture.settings, 1, fixture.controlLoop, fixture.dataPlane);
@@ -103,6 +104,11 @@
     return fixture;
   }
 
+  private void replaceEntry(String endedId, FakeBackendServer backend) {
+    store.drop("servers", endedId);
+    store.put("servers", backend.id(), backend.entry("pool", "ready"));
+  }
+
   FakeStore store() {
     return store;
   }
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -30,15 +32,20 @@
   private static final long LATE_RESPONSE_MILLIS = 50;
   private static final int BLOCK_BYTES = 16_384;
 
-  private final String id;
-  private final ServerSocket listener;
+  private final String name;
+  private volatile String id;
+  private volatile ServerSocket listener;
   private final Function<Received, Behaviour> behaviour;
   private final List<Received> received = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final AtomicInteger endlessResponses = new AtomicInteger();
+  private final AtomicInteger crashes = new AtomicInteger();
+  private volatile Consumer<String> restartListener = endedId -> {};
+  private volatile boolean closed;
 
   private FakeBackendServer(
       String id, ServerSocket listener, Function<Received, Behaviour> behaviour) {
+    this.name = id;
     this.id = id;
     this.listener = listener;
     this.behaviour = behaviour;
@@ -69,6 +76,14 @@
     /** Executes the request and resets the connection. */
     record Reset() implements Behaviour {}
 
+    /**
+     * Ends the process as it begins to respond: all connections close and new ones are refused,
+     * until a process with another id listens on the address.
+     *
+     * @param downMillis time until the restart, milliseconds
+     */
+    record Crash(long downMillis) implements Behaviour {}
+
     /** Executes the request and sends no response. */
     record Silent() implements Behaviour {}
 
@@ -106,10 +121,25 @@
       String host, String id, Function<Received, Behaviour> behaviour) throws IOException {
     ServerSocket listener = new ServerSocket(0, 64, InetAddress.getByName(host));
     FakeBackendServer server = new FakeBackendServer(id, listener, behaviour);
-    Thread.ofVirtual().start(server::accept);
+    Thread.ofVirtual().start(() -> server.accept(listener));
     return server;
   }
 
+  /** Sets the listener that is called with the previous id after each restart. */
+  public void onRestart(Consumer<String> newListener) {
+    restartListener = newListener;
+  }
+
+  /** Returns the id of the current process. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the number of crashes. */
+  public int crashes() {
+    return crashes.get();
+  }
+
   /** Returns all received requests. */
   public List<Received> received() {
     return List.copyOf(received);
@@ -132,10 +162,39 @@
         state);
   }
 
-  private void accept() {
-    while (!listener.isClosed()) {
+  private synchronized void crash(long downMillis) throws IOException {
+    if (listener.isClosed()) {
+      return;
+    }
+    crashes.incrementAndGet();
+    closeSockets();
+    Thread.ofVirtual().start(() -> restart(downMillis));
+  }
+
+  private void restart(long downMillis) {
+    pause(downMillis);
+    String endedId = id;
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      id = name + "-" + crashes;
+      try {
+        ServerSocket reopened =
+            new ServerSocket(listener.getLocalPort(), 64, listener.getInetAddress());
+        listener = reopened;
+        Thread.ofVirtual().start(() -> accept(reopened));
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+    restartListener.accept(endedId);
+  }
+
+  private void accept(ServerSocket open) {
+    while (!open.isClosed()) {
       try {
-        Socket socket = listener.accept();
+        Socket socket = open.accept();
         sockets.add(socket);
         Thread.ofVirtual().start(() -> serve(socket));
       } catch (IOException e) {
@@ -200,6 +259,10 @@
         socket.setSoLinger(true, 0);
         return false;
       }
+      case Behaviour.Crash c -> {
+        crash(c.downMillis());
+        return false;
+      }
       case Behaviour.Silent s -> {
         return socket.getInputStream().read() >= 0;
       }
@@ -320,11 +383,17 @@
     return ids;
   }
 
-  @Override
-  public void close() throws IOException {
+  private void closeSockets() throws IOException {
     listener.close();
     for (Socket socket : sockets) {
       socket.close();
     }
+    sockets.clear();
+  }
+
+  @Override
+  public synchronized void close() throws IOException {
+    closed = true;
+    closeSockets();
   }
 }
