Block prompt segments that crash backend servers

Cause: a lost send counted against the server alone. Its request was sent on to the next server, new requests with the segment were dispatched like any other, and each instance learned alone. Change: a lost connection is followed by a probe; a refused one is a crash, and the segments of the requests that had not begun are its suspects. Instances merge crashes, responses and blocks by digest; three crashes under two requests or more, without a response in between, block the segment that explains most crashes, everywhere and at every send (queue, repeat, larger model, resume). One instance tries it again after 30 s, then half as often each time.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/WaitQueue.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/WaitQueue.java
@@ -74,6 +74,13 @@
     return expired;
   }
 
+  /** Removes and returns the items whose requests match. */
+  public List<T> removeMatching(Predicate<DispatchRequest> condition) {
+    List<T> removed = new ArrayList<>();
+    entries.removeIf(entry -> condition.test(entry.request) && removed.add(entry.item));
+    return removed;
+  }
+
   /**
    * Starts queued items in order until several starts have failed.
    *
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -14,6 +14,9 @@
  * it puts on the backend server. Confined to the traffic thread.
  */
 final class BackendCall {
+  /** Time after its first event at which a response shows that the backend server did not crash. */
+  private static final long RESPONDING_MICROS = 300_000;
+
   private final Exchange exchange;
   private final BackendSelector.Selection selection;
   private final SendTracker sendTracker;
@@ -23,6 +26,8 @@
   private BackendResponseHead head;
   private long sentAt;
   private long lastProgressAt;
+  private long firstEventAt = Long.MAX_VALUE;
+  private boolean responding;
   private boolean prefillDone;
   private boolean ended;
 
@@ -126,10 +131,39 @@
       lastProgressAt = Clock.micros();
       selection.backend().recordProgress(lastProgressAt);
     }
+    if (completedEvent) {
+      firstEventAt = Math.min(firstEventAt, lastProgressAt);
+      if (lastProgressAt - firstEventAt >= RESPONDING_MICROS) {
+        onResponding();
+      }
+    }
     return completedEvent;
   }
 
+  private void onResponding() {
+    if (!responding) {
+      responding = true;
+      exchange.onResponding();
+    }
+  }
+
+  /**
+   * Handles the end of the connection before the end of the response, or as its only sign.
+   *
+   * <p>Called before the call ends. A crash right after the first event looks like one before it.
+   *
+   * @param responseEnded whether the end of the connection ends the response
+   */
+  void onConnectionLost(boolean responseEnded) {
+    if (!ended && !responding) {
+      exchange.onConnectionLost(this, responseEnded);
+    }
+  }
+
   void onEnd() {
+    if (head.isSuccess() && head.bodyDelimited()) {
+      onResponding();
+    }
     finish();
     exchange.onEnd(this, head);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
@@ -131,6 +131,14 @@
     channel.config().setAutoRead(reading);
   }
 
+  /** Ends a call whose connection was closed or reset, maybe because the backend server crashed. */
+  private void closeLost(String reason) {
+    if (call != null) {
+      call.onConnectionLost(false);
+    }
+    closeBroken(reason);
+  }
+
   private void closeBroken(String reason) {
     BackendCall open = call;
     call = null;
@@ -252,6 +260,10 @@
       } else {
         channel.close();
       }
+      if (!head.bodyDelimited()) {
+        // The end of the connection ends the body, also where the backend server crashed.
+        ended.onConnectionLost(head.isSuccess());
+      }
       ended.onEnd();
     }
 
@@ -261,13 +273,13 @@
       if (!(cause instanceof IOException)) {
         EdgeLog.problem("backend_connection", cause);
       }
-      closeBroken("broke: " + cause.getMessage());
+      closeLost("broke: " + cause.getMessage());
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       pool.onClosed(BackendConnection.this);
-      closeBroken("closed before the answer was whole");
+      closeLost("closed before the answer was whole");
     }
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
@@ -4,9 +4,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -15,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 import org.kumquatplank.core.dispatch.BackendState;
 
@@ -81,10 +84,41 @@
       }
       candidate.connection().channel().close();
     }
-    open(key, state, call);
+    open(
+        state,
+        c -> onConnected(c, call),
+        cause -> call.onConnectFailed(String.valueOf(cause.getMessage())));
   }
 
-  private void open(Key key, BackendState state, BackendCall call) {
+  /**
+   * Finds out whether a backend server still accepts connections; one that was opened for it is
+   * kept for the next request.
+   */
+  void probe(BackendState state, Consumer<ProbeResult> onResult) {
+    open(
+        state,
+        connection -> {
+          release(connection, OptionalLong.empty());
+          onResult.accept(ProbeResult.ACCEPTED);
+        },
+        cause -> {
+          boolean refused =
+              cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+          onResult.accept(refused ? ProbeResult.REFUSED : ProbeResult.NO_RESPONSE);
+        });
+  }
+
+  /** Result of a probe. */
+  enum ProbeResult {
+    ACCEPTED,
+    /** Nothing listens on the address, so the process has ended. */
+    REFUSED,
+    NO_RESPONSE
+  }
+
+  private void open(
+      BackendState state, Consumer<BackendConnection> onOpen, Consumer<Throwable> onFailure) {
+    Key key = Key.of(state);
     BackendConnection connection = new BackendConnection(this, key);
     states.put(key, state);
     state.connectionOpened();
@@ -109,10 +143,10 @@
         .addListener(
             future -> {
               if (future.isSuccess()) {
-                onConnected(connection, call);
+                onOpen.accept(connection);
               } else {
                 state.connectionClosed();
-                call.onConnectFailed(String.valueOf(future.cause().getMessage()));
+                onFailure.accept(future.cause());
               }
             });
   }
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -297,6 +297,9 @@
               .setUnreadTokens(load.pendingPrefillTokens())
               .setSuspect(load.suspect()));
     }
+    if (!trafficReport.crashEvidence().isEmpty()) {
+      digest.setCrashEvidence(CrashEvidenceCodec.encode(trafficReport.crashEvidence(), now));
+    }
     rollouts.addTo(digest, now);
     directory.send(digest, now);
   }
@@ -324,6 +327,9 @@
               load.getBackend(), load.getRequests(), load.getUnreadTokens(), load.getSuspect()));
     }
     receivedLoads.put(digest.getInstance(), loads);
+    if (digest.hasCrashEvidence()) {
+      dataPlane.mergeCrashEvidence(CrashEvidenceCodec.decode(digest.getCrashEvidence(), now));
+    }
   }
 
   private void runPeriodicTasks() {
@@ -336,6 +342,7 @@
                 .filter(p -> p.digest().getReady())
                 .allMatch(p -> settings.instance().compareTo(p.digest().getInstance()) < 0);
     rollouts.syncStatus(leader, now);
+    dataPlane.setSendsTrials(leader);
     publishServers();
     publishVersionRules();
     List<EdgeDigest> ready =
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -19,6 +19,7 @@
 import java.util.function.Consumer;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.Catalog;
+import org.kumquatplank.core.dispatch.CrashEvidence;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.rollout.VersionStats;
@@ -167,6 +168,16 @@
     loop.execute(() -> dispatcher.setServers(servers));
   }
 
+  /** Sets whether this instance is the one that sends trials of blocked segments. */
+  void setSendsTrials(boolean sends) {
+    loop.execute(() -> dispatcher.setSendsTrials(sends));
+  }
+
+  /** Merges what a peer knows of crashes of backend servers. */
+  void mergeCrashEvidence(CrashEvidence evidence) {
+    loop.execute(() -> dispatcher.mergeCrashEvidence(evidence));
+  }
+
   void setVersionRules(Map<String, VersionRule> rules) {
     loop.execute(() -> dispatcher.setVersionRules(rules));
   }
@@ -207,12 +218,14 @@
         .forEach(
             (key, inFlight) ->
                 evidence.merge(key, new VersionStats(0, 0, 0, inFlight), VersionStats::plus));
-    return new TrafficReport(dispatcher.ownLoads(), evidence, dispatcher.isReady());
+    return new TrafficReport(
+        dispatcher.ownLoads(), evidence, dispatcher.crashEvidence(), dispatcher.isReady());
   }
 
   private void sweep() {
     long now = Clock.micros();
     pool.sweep(now);
+    dispatcher.crashDetector().sweep();
     admission.sweep(now);
     if (drainingSince >= 0) {
       long drainingMicros = now - drainingSince;
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -14,6 +14,8 @@
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
+import org.kumquatplank.core.dispatch.CrashEvidence;
+import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.Locality;
 import org.kumquatplank.core.dispatch.ModelChooser;
@@ -21,6 +23,7 @@
 import org.kumquatplank.core.dispatch.PrefillRate;
 import org.kumquatplank.core.dispatch.PromptSegment;
 import org.kumquatplank.core.dispatch.RetryLimit;
+import org.kumquatplank.core.dispatch.SegmentCrashTracker;
 import org.kumquatplank.core.dispatch.SilenceTimeout;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.dispatch.WaitQueue;
@@ -51,6 +54,8 @@
   private final ConfirmedCatalog catalog;
   private final BackendRegistry registry = BackendRegistry.create();
   private final BackendSelector selector;
+  private final SegmentCrashTracker crashTracker = SegmentCrashTracker.create();
+  private final CrashDetector crashDetector;
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
   private final VersionCounts versionCounts = new VersionCounts();
   private final LogThrottle retryLimitLog = LogThrottle.create((long) MICROS_PER_SECOND);
@@ -60,6 +65,7 @@
   private Map<String, VersionRule> versionRules = Map.of();
   private boolean serversKnown;
   private int liveInstances = 1;
+  private boolean sendsTrials;
   private Runnable onFirstExchange = () -> {};
   private boolean ticking;
 
@@ -68,6 +74,7 @@
     this.pool = pool;
     this.metrics = metrics;
     this.catalog = ConfirmedCatalog.create(settings.limits().configPropagationMillis());
+    this.crashDetector = new CrashDetector(pool, crashTracker, metrics);
     this.selector =
         BackendSelector.create(
             new Locality(settings.zone(), settings.regions()), new PrefillRate());
@@ -91,6 +98,25 @@
     registry.setPeerLoads(peer, loads, Clock.micros());
   }
 
+  /** Sets whether this instance is the one that sends trials of blocked segments. */
+  void setSendsTrials(boolean sends) {
+    sendsTrials = sends;
+  }
+
+  void mergeCrashEvidence(CrashEvidence evidence) {
+    crashTracker.merge(evidence, Clock.micros());
+    crashDetector.reportBlocks();
+  }
+
+  /** Returns what this instance knows of crashes of backend servers. */
+  CrashEvidence crashEvidence() {
+    return crashTracker.evidence(Clock.micros());
+  }
+
+  CrashDetector crashDetector() {
+    return crashDetector;
+  }
+
   ConfirmedCatalog catalog() {
     return catalog;
   }
@@ -194,6 +220,13 @@
   /** Sends a request to the best backend server, queues it, or fails it if none may serve it. */
   void dispatch(Exchange exchange) {
     long now = Clock.micros();
+    Optional<BlockedSegment> block = crashTracker.blockOf(exchange.request());
+    if (block.isPresent()) {
+      if (!trySendTrial(exchange, block.get(), now)) {
+        rejectBlocked(exchange, block.get());
+      }
+      return;
+    }
     WaitQueue<Exchange> queue = queue(exchange);
     boolean hasRequestsAhead = queue.size() > 0 && queue.countAhead(exchange.request()) > 0;
     if (!hasRequestsAhead && tryDispatch(exchange, now)) {
@@ -210,6 +243,33 @@
     metrics.count("waited");
   }
 
+  private boolean trySendTrial(Exchange exchange, BlockedSegment block, long now) {
+    boolean due = sendsTrials && crashTracker.isTrialDue(block, exchange.request(), now);
+    if (!due || !tryDispatch(exchange, now)) {
+      return false;
+    }
+    crashTracker.recordTrial(block, now);
+    EdgeLog.event("segment_trial")
+        .addKeyValue("id", exchange.request().id())
+        .addKeyValue("segment", block.id())
+        .addKeyValue("trials", block.trials() + 1)
+        .log();
+    return true;
+  }
+
+  private void rejectBlocked(Exchange exchange, BlockedSegment block) {
+    metrics.count("refused_blocked_segment");
+    exchange.endWithError("backend servers crash under segment " + block.id(), false);
+  }
+
+  private void rejectQueuedBlocked() {
+    for (WaitQueue<Exchange> queue : queues.values()) {
+      queue
+          .removeMatching(request -> crashTracker.blockOf(request).isPresent())
+          .forEach(e -> crashTracker.blockOf(e.request()).ifPresent(b -> rejectBlocked(e, b)));
+    }
+  }
+
   private boolean tryDispatch(Exchange exchange, long now) {
     DispatchRequest request = exchange.request();
     if (exchange.model().isEmpty() && exchange.routerSelectsModel()) {
@@ -270,7 +330,8 @@
   private void dispatchQueued() {
     long now = Clock.micros();
     for (WaitQueue<Exchange> queue : queues.values()) {
-      queue.startWaiting(e -> e.isDone() || tryDispatch(e, now));
+      queue.startWaiting(
+          e -> e.isDone() || (crashTracker.blockOf(e.request()).isEmpty() && tryDispatch(e, now)));
     }
   }
 
@@ -279,6 +340,7 @@
     for (WaitQueue<Exchange> queue : queues.values()) {
       queue.removeExpired(now).forEach(e -> e.endWithError("no room in time", false));
     }
+    rejectQueuedBlocked();
     dispatchQueued();
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.tick(now);
@@ -299,6 +361,11 @@
   double retryAfterSeconds(Exchange exchange) {
     double secondsLeft = (exchange.request().deadlineMicros() - Clock.micros()) / MICROS_PER_SECOND;
     double jitter = RETRY_AFTER_JITTER_SECONDS * Math.random();
+    Optional<BlockedSegment> block = crashTracker.blockOf(exchange.request());
+    if (block.isPresent()) {
+      double untilTrial = (block.get().nextTrialAt() - Clock.micros()) / MICROS_PER_SECOND;
+      return Math.max(0, untilTrial) + RETRY_AFTER_BASE_SECONDS + jitter;
+    }
     return Math.max(0.01, Math.min(secondsLeft / 3, RETRY_AFTER_BASE_SECONDS + jitter));
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -302,6 +302,17 @@
     writer.respond(failure.head().status(), failure.head().forwardedHeaders(), failure.body());
   }
 
+  /** Handles that a backend server responds and did not crash under this request. */
+  void onResponding() {
+    dispatcher.crashDetector().onResponding(request);
+  }
+
+  /** Handles that the backend server may have crashed before it responded. */
+  void onConnectionLost(BackendCall from, boolean responseEnded) {
+    BackendState backend = from.selection().backend();
+    dispatcher.crashDetector().onConnectionLost(backend, request, responseEnded);
+  }
+
   void onBrokenResponse(BackendCall from, String reason) {
     if (done) {
       return;
--- a/edge/src/main/java/org/kumquatplank/edge/TrafficReport.java
+++ b/edge/src/main/java/org/kumquatplank/edge/TrafficReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.kumquatplank.core.dispatch.CrashEvidence;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.rollout.VersionStats;
 
@@ -12,11 +13,16 @@
  *
  * @param loads in-flight load of this instance per backend server
  * @param evidence responses per version since the start, and in-flight requests
+ * @param crashEvidence crashes of backend servers that are known
  * @param ready whether requests can be served
  */
 record TrafficReport(
-    List<PeerLoad> loads, Map<VersionCounts.Key, VersionStats> evidence, boolean ready) {
-  static final TrafficReport NOTHING = new TrafficReport(List.of(), Map.of(), false);
+    List<PeerLoad> loads,
+    Map<VersionCounts.Key, VersionStats> evidence,
+    CrashEvidence crashEvidence,
+    boolean ready) {
+  static final TrafficReport NOTHING =
+      new TrafficReport(List.of(), Map.of(), CrashEvidence.NONE, false);
 
   TrafficReport {
     loads = List.copyOf(loads);
