--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -70,6 +70,9 @@
     /** Executes the request and responds. */
     record Answer(int status, String body) implements Behaviour {}
 
+    /** Executes the request and names the requests a second that it takes from all callers. */
+    record LimitedAnswer(String body, double requestsPerSecond) implements Behaviour {}
+
     /** Rejects the request with a 503 that states that it was not executed. */
     record Refuse() implements Behaviour {}
 
@@ -253,6 +256,15 @@
     }
     switch (behaviour.apply(request)) {
       case Behaviour.Answer a -> write(out, fullResponse(a.status(), attemptId, a.body()));
+      case Behaviour.LimitedAnswer a ->
+          write(
+              out,
+              OK_HEAD
+                  + "Server-Limit: "
+                  + a.requestsPerSecond()
+                  + "\r\n"
+                  + fullResponse(200, attemptId, a.body())
+                      .substring("HTTP/1.1 200 S\r\n".length()));
       case Behaviour.Refuse r ->
           write(out, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       case Behaviour.Reset r -> {
