Keep to the limit of requests a second that a backend server names

Cause: nothing read the limit that a response names, so a server in need was selected like any other. Change: each instance takes its share of the limit, one request per interval, as one more kind of missing capacity: requests go elsewhere, wait or are rejected as before. A request that is not used expires after 1 s and the intervals begin at random times, so idle instances add up to no burst. The limit ends with a response that names none. Every send counts, also repeats and larger models.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -119,6 +119,9 @@
   }
 
   private static boolean hasCapacity(BackendState state, Constraints constraints, long now) {
+    if (!state.isWithinRequestLimit(constraints.instanceCount(), now)) {
+      return false;
+    }
     int slots = Math.max(1, state.server().slots());
     int inFlight = state.totalInFlightRequests(now);
     int connectionShare =
@@ -226,11 +229,14 @@
 
   /** Records a send; the prefix cache of the backend server then holds the shared prefix. */
   public void recordSend(
-      Selection selection, DispatchRequest request, Optional<String> model, long now) {
+      Selection selection, DispatchRequest request, Constraints constraints, long now) {
     String id = selection.backend().server().id();
+    selection.backend().countAgainstRequestLimit(constraints.instanceCount(), now);
     request
         .lastSharedSegment()
-        .ifPresent(segment -> prefixCache.recordUse(id, model.orElse(""), segment.id(), now));
+        .ifPresent(
+            segment ->
+                prefixCache.recordUse(id, constraints.model().orElse(""), segment.id(), now));
   }
 
   /**
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.kumquatplank.core.catalog.BackendServer;
 
 /**
@@ -33,6 +34,7 @@
   private int pendingPrefillTokens;
   private int openConnections;
   private LoadReport lastReport;
+  private Optional<RateShare> rateShare = Optional.empty();
   private long suspicionMicros;
   private long suspectUntil = Long.MIN_VALUE;
   private long peerSuspectUntil = Long.MIN_VALUE;
@@ -111,6 +113,40 @@
     return pendingPrefillTokens;
   }
 
+  /**
+   * Sets the limit that a response named, or that it named none.
+   *
+   * @param requestsPerSecond limit for all instances together
+   * @param instances number of live instances
+   * @return whether that is a change
+   */
+  public boolean setRequestLimit(OptionalDouble requestsPerSecond, int instances, long now) {
+    boolean unchanged =
+        requestsPerSecond.isEmpty()
+            ? rateShare.isEmpty()
+            : rateShare.isPresent()
+                && rateShare.get().requestsPerSecond() == requestsPerSecond.getAsDouble();
+    if (unchanged) {
+      return false;
+    }
+    rateShare =
+        requestsPerSecond.isEmpty()
+            ? Optional.empty()
+            : Optional.of(
+                RateShare.create(requestsPerSecond.getAsDouble(), instances, Math.random(), now));
+    return true;
+  }
+
+  /** Returns whether the limit of the server, if it named one, allows a request now. */
+  boolean isWithinRequestLimit(int instances, long now) {
+    return rateShare.isEmpty() || rateShare.get().isAvailable(instances, now);
+  }
+
+  /** Counts a request that is sent against the limit of the server. */
+  void countAgainstRequestLimit(int instances, long now) {
+    rateShare.ifPresent(share -> share.recordRequest(instances, now));
+  }
+
   /** Records a load report that came with a response. */
   public void recordLoadReport(LoadReport load) {
     lastReport = load;
--- a/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
@@ -120,7 +120,12 @@
         new DispatchRequest(
             "x", first.route(), "pool", "t", 1, Optional.empty(), segments, 6_500, 100, 0, 1_000);
     BackendSelector.Selection selection = select(request, Samples.ENGINE, 0).orElseThrow();
-    selector.recordSend(selection, request, Optional.of("large"), 0);
+    selector.recordSend(
+        selection,
+        request,
+        new BackendSelector.Constraints(
+            Samples.ENGINE, Optional.of("large"), new VersionRule.Any(), Set.of(), 1),
+        0);
     for (int i = 1; i < 5; i++) {
       BackendSelector.Selection repeated = select(request, Samples.ENGINE, i).orElseThrow();
       assertThat(repeated.backend()).isSameAs(selection.backend());
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -275,13 +276,13 @@
     if (exchange.model().isEmpty() && exchange.routerSelectsModel()) {
       exchange.setModel(modelChooser.firstModel(request));
     }
+    BackendSelector.Constraints constraints = constraints(exchange);
     Optional<BackendSelector.Selection> selection =
-        selector.select(
-            registry.forService(request.service()), request, constraints(exchange), now);
+        selector.select(registry.forService(request.service()), request, constraints, now);
     if (selection.isEmpty()) {
       return false;
     }
-    selector.recordSend(selection.get(), request, exchange.model(), now);
+    selector.recordSend(selection.get(), request, constraints, now);
     exchange.send(selection.get(), now);
     return true;
   }
@@ -369,6 +370,17 @@
     return Math.max(0.01, Math.min(secondsLeft / 3, RETRY_AFTER_BASE_SECONDS + jitter));
   }
 
+  /** Applies the limit that a response names, or that it names none. */
+  void onRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
+    if (backend.setRequestLimit(requestsPerSecond, liveInstances, Clock.micros())) {
+      EdgeLog.event("backend_limit")
+          .addKeyValue("backend", backend.server().id())
+          .addKeyValue("per_second", requestsPerSecond.isPresent() ? requestsPerSecond : "none")
+          .addKeyValue("instances", liveInstances)
+          .log();
+    }
+  }
+
   void onFirstResponse(Exchange exchange, BackendCall call) {
     if (call.hadNoPrefillAhead()) {
       long micros = Clock.micros() - call.sentAt();
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -158,6 +158,7 @@
   }
 
   void onHead(BackendCall from, BackendResponseHead response) {
+    dispatcher.onRequestLimit(from.selection().backend(), response.requestsPerSecond());
     boolean good = response.isSuccess();
     if (good && (!response.hasSeal() || response.hasContentEncoding())) {
       from.cancel();
