Soak segments that crash engines, and test what instances tell each other of them

The soak's last phase, after its series of faults: five engines that end as they begin to respond to one segment, three real instances. At most three requests with it later than 4 s after the fifth crash, half of the sound ones served.

--- a/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -130,6 +131,11 @@
     for (Thread caller : callers) {
       caller.join();
     }
+    int[] entryPorts = new int[INSTANCES];
+    Arrays.setAll(entryPorts, i -> firstPort + i * PORTS_EACH + 2);
+    try (SegmentCrashPhase crashes = SegmentCrashPhase.open(store, entryPorts)) {
+      violations.addAll(crashes.run());
+    }
     return new Result(List.copyOf(violations), served.get());
   }
 
@@ -142,7 +148,10 @@
         + String.format(Locale.ROOT, route, "read", "read", "safe", 3)
         + ","
         + String.format(Locale.ROOT, route, "order", "order", "unsafe", 2)
-        + "],\"services\":[{\"name\":\"pool\",\"connection_limit\":64}],\"limits\":{}}";
+        + ","
+        + SegmentCrashPhase.ROUTE
+        + "],\"services\":[{\"name\":\"pool\",\"connection_limit\":64},"
+        + "{\"name\":\"engines\",\"connection_limit\":64}],\"limits\":{}}";
   }
 
   /** Runs most requests; faults depend on the seed and request id alone, to be reproducible. */
