--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -221,6 +221,7 @@
   /** Sends a request to the best backend server, queues it, or fails it if none may serve it. */
   void dispatch(Exchange exchange) {
     long now = Clock.micros();
+    crashTracker.updateBlocks(now);
     Optional<BlockedSegment> block = crashTracker.blockOf(exchange.request());
     if (block.isPresent()) {
       if (!trySendTrial(exchange, block.get(), now)) {
@@ -341,6 +342,8 @@
     for (WaitQueue<Exchange> queue : queues.values()) {
       queue.removeExpired(now).forEach(e -> e.endWithError("no room in time", false));
     }
+    crashTracker.updateBlocks(now);
+    crashDetector.reportBlocks();
     rejectQueuedBlocked();
     dispatchQueued();
     for (Exchange exchange : List.copyOf(exchanges)) {
