--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -110,6 +110,7 @@
                             l.slots(),
                             l.slowdownFactor(),
                             lastProgressAt)));
+    exchange.dispatcher().onRequestLimit(selection.backend(), newHead.requestsPerSecond());
     sendTracker.setState(sendNumber, newHead.notExecuted() ? SendState.NOT_RUN : SendState.RAN);
     if (newHead.misdirected()) {
       selection.backend().markRemoved();
@@ -143,7 +144,7 @@
   private void onResponding() {
     if (!responding) {
       responding = true;
-      exchange.onResponding();
+      exchange.dispatcher().crashDetector().onResponding(exchange.request());
     }
   }
 
@@ -156,7 +157,10 @@
    */
   void onConnectionLost(boolean responseEnded) {
     if (!ended && !responding) {
-      exchange.onConnectionLost(this, responseEnded);
+      exchange
+          .dispatcher()
+          .crashDetector()
+          .onConnectionLost(selection.backend(), exchange.request(), responseEnded);
     }
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/CrashDetector.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CrashDetector.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.kumquatplank.core.dispatch.BackendState;
+import org.kumquatplank.core.dispatch.CrashEvidence;
 import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.PromptSegment;
@@ -26,6 +27,7 @@
   private final EdgeMetrics metrics;
   private final Map<BackendState, Loss> losses = new HashMap<>();
   private Set<String> reportedBlocks = Set.of();
+  private boolean sendsTrials;
 
   CrashDetector(BackendPool pool, SegmentCrashTracker tracker, EdgeMetrics metrics) {
     this.pool = pool;
@@ -42,6 +44,32 @@
     private boolean crashed;
   }
 
+  /** Sets whether this instance is the one that sends trials of blocked segments. */
+  void setSendsTrials(boolean sends) {
+    sendsTrials = sends;
+  }
+
+  boolean maySendTrial(BlockedSegment block, DispatchRequest request, long now) {
+    return sendsTrials && tracker.isTrialDue(block, request, now);
+  }
+
+  /** Merges what a peer knows. */
+  void merge(CrashEvidence evidence) {
+    tracker.merge(evidence, Clock.micros());
+    reportBlocks();
+  }
+
+  /** Returns what this instance knows. */
+  CrashEvidence evidence() {
+    return tracker.evidence(Clock.micros());
+  }
+
+  /** Blocks the segments whose time has come; called every 50 ms while requests are open. */
+  void update(long now) {
+    tracker.updateBlocks(now);
+    reportBlocks();
+  }
+
   void onResponding(DispatchRequest request) {
     tracker.recordResponse(request, Clock.micros());
     reportBlocks();
@@ -111,7 +139,7 @@
   }
 
   /** Logs the segments that were blocked or unblocked since the last call. */
-  void reportBlocks() {
+  private void reportBlocks() {
     Set<String> blocked = new HashSet<>();
     for (BlockedSegment block : tracker.blocks()) {
       blocked.add(block.id());
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -170,12 +170,12 @@
 
   /** Sets whether this instance is the one that sends trials of blocked segments. */
   void setSendsTrials(boolean sends) {
-    loop.execute(() -> dispatcher.setSendsTrials(sends));
+    loop.execute(() -> dispatcher.crashDetector().setSendsTrials(sends));
   }
 
   /** Merges what a peer knows of crashes of backend servers. */
   void mergeCrashEvidence(CrashEvidence evidence) {
-    loop.execute(() -> dispatcher.mergeCrashEvidence(evidence));
+    loop.execute(() -> dispatcher.crashDetector().merge(evidence));
   }
 
   void setVersionRules(Map<String, VersionRule> rules) {
@@ -219,7 +219,10 @@
             (key, inFlight) ->
                 evidence.merge(key, new VersionStats(0, 0, 0, inFlight), VersionStats::plus));
     return new TrafficReport(
-        dispatcher.ownLoads(), evidence, dispatcher.crashEvidence(), dispatcher.isReady());
+        dispatcher.ownLoads(),
+        evidence,
+        dispatcher.crashDetector().evidence(),
+        dispatcher.isReady());
   }
 
   private void sweep() {
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -10,19 +10,16 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
-import org.kumquatplank.core.dispatch.CrashEvidence;
 import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.Locality;
 import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.PrefillRate;
-import org.kumquatplank.core.dispatch.PromptSegment;
 import org.kumquatplank.core.dispatch.RetryLimit;
 import org.kumquatplank.core.dispatch.SegmentCrashTracker;
 import org.kumquatplank.core.dispatch.SilenceTimeout;
@@ -46,9 +43,6 @@
   /** Fraction of its remaining time that a request may spend in the queue. */
   private static final double MAX_QUEUE_WAIT_RATIO = 0.5;
 
-  private static final double RETRY_AFTER_BASE_SECONDS = 0.15;
-  private static final double RETRY_AFTER_JITTER_SECONDS = 0.25;
-
   private final EdgeSettings settings;
   private final BackendPool pool;
   private final EdgeMetrics metrics;
@@ -66,7 +60,6 @@
   private Map<String, VersionRule> versionRules = Map.of();
   private boolean serversKnown;
   private int liveInstances = 1;
-  private boolean sendsTrials;
   private Runnable onFirstExchange = () -> {};
   private boolean ticking;
 
@@ -99,21 +92,6 @@
     registry.setPeerLoads(peer, loads, Clock.micros());
   }
 
-  /** Sets whether this instance is the one that sends trials of blocked segments. */
-  void setSendsTrials(boolean sends) {
-    sendsTrials = sends;
-  }
-
-  void mergeCrashEvidence(CrashEvidence evidence) {
-    crashTracker.merge(evidence, Clock.micros());
-    crashDetector.reportBlocks();
-  }
-
-  /** Returns what this instance knows of crashes of backend servers. */
-  CrashEvidence crashEvidence() {
-    return crashTracker.evidence(Clock.micros());
-  }
-
   CrashDetector crashDetector() {
     return crashDetector;
   }
@@ -136,15 +114,7 @@
 
   /** Returns the number of in-flight requests per version of each service. */
   Map<VersionCounts.Key, Integer> inFlightByVersion() {
-    Map<VersionCounts.Key, Integer> result = new HashMap<>();
-    for (BackendState state : registry.all()) {
-      BackendServer server = state.server();
-      result.merge(
-          new VersionCounts.Key(server.service(), server.softwareVersion()),
-          state.inFlightRequests(),
-          Integer::sum);
-    }
-    return result;
+    return VersionCounts.inFlightByVersion(registry.all());
   }
 
   int openExchanges() {
@@ -205,19 +175,13 @@
     boolean taken = retryLimit(exchange).tryAcquire(liveInstances, now);
     if (!taken) {
       metrics.count("repeats_over_limit");
-      retryLimitLog.pass(now).ifPresent(omitted -> logRetryLimit(exchange, omitted));
+      retryLimitLog
+          .pass(now)
+          .ifPresent(omitted -> ExchangeLog.overRetryLimit(exchange, liveInstances, omitted));
     }
     return taken;
   }
 
-  private void logRetryLimit(Exchange exchange, int omitted) {
-    EdgeLog.event("repeat_over_limit")
-        .addKeyValue("id", exchange.request().id())
-        .addKeyValue("instances", liveInstances)
-        .addKeyValue("omitted", omitted)
-        .log();
-  }
-
   /** Sends a request to the best backend server, queues it, or fails it if none may serve it. */
   void dispatch(Exchange exchange) {
     long now = Clock.micros();
@@ -246,16 +210,12 @@
   }
 
   private boolean trySendTrial(Exchange exchange, BlockedSegment block, long now) {
-    boolean due = sendsTrials && crashTracker.isTrialDue(block, exchange.request(), now);
+    boolean due = crashDetector.maySendTrial(block, exchange.request(), now);
     if (!due || !tryDispatch(exchange, now)) {
       return false;
     }
     crashTracker.recordTrial(block, now);
-    EdgeLog.event("segment_trial")
-        .addKeyValue("id", exchange.request().id())
-        .addKeyValue("segment", block.id())
-        .addKeyValue("trials", block.trials() + 1)
-        .log();
+    ExchangeLog.trial(exchange, block);
     return true;
   }
 
@@ -342,8 +302,7 @@
     for (WaitQueue<Exchange> queue : queues.values()) {
       queue.removeExpired(now).forEach(e -> e.endWithError("no room in time", false));
     }
-    crashTracker.updateBlocks(now);
-    crashDetector.reportBlocks();
+    crashDetector.update(now);
     rejectQueuedBlocked();
     dispatchQueued();
     for (Exchange exchange : List.copyOf(exchanges)) {
@@ -361,16 +320,11 @@
         Clock.micros());
   }
 
-  /** Returns the delay after which a rejected caller should retry, seconds, with jitter. */
+  /** Returns the delay after which a rejected caller should retry, seconds. */
   double retryAfterSeconds(Exchange exchange) {
-    double secondsLeft = (exchange.request().deadlineMicros() - Clock.micros()) / MICROS_PER_SECOND;
-    double jitter = RETRY_AFTER_JITTER_SECONDS * Math.random();
-    Optional<BlockedSegment> block = crashTracker.blockOf(exchange.request());
-    if (block.isPresent()) {
-      double untilTrial = (block.get().nextTrialAt() - Clock.micros()) / MICROS_PER_SECOND;
-      return Math.max(0, untilTrial) + RETRY_AFTER_BASE_SECONDS + jitter;
-    }
-    return Math.max(0.01, Math.min(secondsLeft / 3, RETRY_AFTER_BASE_SECONDS + jitter));
+    DispatchRequest request = exchange.request();
+    return RetryDelay.seconds(
+        request.deadlineMicros(), crashTracker.blockOf(request), Clock.micros());
   }
 
   /** Applies the limit that a response names, or that it names none. */
@@ -393,12 +347,7 @@
 
   void onEscalated(Exchange exchange, BackendCall call, OptionalInt confidence, String larger) {
     metrics.count("escalated");
-    EdgeLog.event("escalate")
-        .addKeyValue("id", exchange.request().id())
-        .addKeyValue("model", exchange.model().orElse(""))
-        .addKeyValue("confidence", confidence.orElse(-1))
-        .addKeyValue("larger", larger)
-        .log();
+    ExchangeLog.escalated(exchange, confidence, larger);
   }
 
   void onSuccess(Exchange exchange, BackendCall call, int eventCount) {
@@ -415,20 +364,7 @@
     backend.recordFailure(Clock.micros());
     versionCounts.addFailure(backend.server());
     metrics.count("bad_answers");
-    EdgeLog.event("bad_answer")
-        .addKeyValue("id", exchange.request().id())
-        .addKeyValue("backend", backend.server().id())
-        .addKeyValue("version", backend.server().softwareVersion())
-        .addKeyValue("reason", reason)
-        .addKeyValue("events", exchange.eventCount())
-        .addKeyValue("segments", segmentIds(exchange.request()))
-        .log();
-  }
-
-  private static String segmentIds(DispatchRequest request) {
-    return request.sharedSegments().stream()
-        .map(PromptSegment::id)
-        .collect(Collectors.joining(","));
+    ExchangeLog.failed(exchange, backend.server(), reason);
   }
 
   void onSilent(Exchange exchange, BackendCall call, long silentMicros) {
@@ -441,20 +377,12 @@
   void onUnreachable(Exchange exchange, BackendCall call, String reason) {
     call.selection().backend().recordFailure(Clock.micros());
     metrics.count("unreachable");
-    EdgeLog.event("unreachable")
-        .addKeyValue("id", exchange.request().id())
-        .addKeyValue("backend", call.selection().backend().server().id())
-        .addKeyValue("reason", reason)
-        .log();
+    ExchangeLog.unreachable(exchange, call, reason);
   }
 
   void onNotRun(Exchange exchange, BackendCall call, BackendResponseHead response) {
     metrics.count("refused_by_backend");
-    EdgeLog.event("refused_by_backend")
-        .addKeyValue("id", exchange.request().id())
-        .addKeyValue("backend", call.selection().backend().server().id())
-        .addKeyValue("status", response.status())
-        .log();
+    ExchangeLog.refusedByBackend(exchange, call, response.status());
   }
 
   void onDone(Exchange exchange, String outcome) {
@@ -465,21 +393,7 @@
     boolean success = outcome.equals("answered") || outcome.equals("streamed");
     metrics.count(success ? "good" : "not_good");
     if (!success || EdgeLog.sampleSuccess()) {
-      DispatchRequest request = exchange.request();
-      EdgeLog.event("done")
-          .addKeyValue("id", request.id())
-          .addKeyValue("route", request.route().name())
-          .addKeyValue("account", request.account())
-          .addKeyValue("model", exchange.model().orElse(""))
-          .addKeyValue("sends", exchange.sendCount())
-          .addKeyValue("ms", (Clock.micros() - request.arrivalMicros()) / MICROS_PER_MILLI)
-          .addKeyValue("first_ms", exchange.times().firstMicros() / MICROS_PER_MILLI)
-          .addKeyValue("pause_ms", exchange.times().longestPauseMicros() / MICROS_PER_MILLI)
-          .addKeyValue("prompt", request.promptTokens())
-          .addKeyValue(
-              "backend", exchange.call().map(c -> c.selection().backend().server().id()).orElse(""))
-          .addKeyValue("outcome", outcome)
-          .log();
+      ExchangeLog.done(exchange, outcome);
     }
     dispatchQueued();
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -59,6 +59,10 @@
     this.times = new StreamTimes(request.arrivalMicros());
   }
 
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
   DispatchRequest request() {
     return request;
   }
@@ -158,7 +162,6 @@
   }
 
   void onHead(BackendCall from, BackendResponseHead response) {
-    dispatcher.onRequestLimit(from.selection().backend(), response.requestsPerSecond());
     boolean good = response.isSuccess();
     if (good && (!response.hasSeal() || response.hasContentEncoding())) {
       from.cancel();
@@ -303,17 +306,6 @@
     writer.respond(failure.head().status(), failure.head().forwardedHeaders(), failure.body());
   }
 
-  /** Handles that a backend server responds and did not crash under this request. */
-  void onResponding() {
-    dispatcher.crashDetector().onResponding(request);
-  }
-
-  /** Handles that the backend server may have crashed before it responded. */
-  void onConnectionLost(BackendCall from, boolean responseEnded) {
-    BackendState backend = from.selection().backend();
-    dispatcher.crashDetector().onConnectionLost(backend, request, responseEnded);
-  }
-
   void onBrokenResponse(BackendCall from, String reason) {
     if (done) {
       return;
@@ -351,11 +343,7 @@
     if (call != null) {
       call.cancel();
     }
-    if (streaming) {
-      abort("the time is up");
-    } else {
-      endWithError("the time is up", true);
-    }
+    endWithError("the time is up", true);
   }
 
   /** Ends the exchange with a kept error response or, without one, an error of this router. */
--- a/edge/src/main/java/org/kumquatplank/edge/VersionCounts.java
+++ b/edge/src/main/java/org/kumquatplank/edge/VersionCounts.java
@@ -1,8 +1,10 @@
 package org.kumquatplank.edge;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.rollout.VersionStats;
 
 /**
@@ -28,6 +30,19 @@
     counts.merge(new Key(server.service(), server.softwareVersion()), evidence, VersionStats::plus);
   }
 
+  /** Returns the number of in-flight requests per version of each service. */
+  static Map<Key, Integer> inFlightByVersion(Collection<BackendState> backends) {
+    Map<Key, Integer> result = new HashMap<>();
+    for (BackendState state : backends) {
+      BackendServer server = state.server();
+      result.merge(
+          new Key(server.service(), server.softwareVersion()),
+          state.inFlightRequests(),
+          Integer::sum);
+    }
+    return result;
+  }
+
   /** Returns a copy of the counts. */
   Map<Key, VersionStats> snapshot() {
     return Map.copyOf(counts);
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -1,7 +1,6 @@
 package org.kumquatplank.testkit.fleet;
 
 import java.io.BufferedInputStream;
-import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -11,7 +10,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -210,7 +208,7 @@
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
       while (true) {
-        Received request = read(in);
+        Received request = RequestReader.read(in);
         received.add(request);
         if (!respond(socket, request)) {
           return;
@@ -221,32 +219,6 @@
     }
   }
 
-  private static Received read(InputStream in) throws IOException {
-    String line = readLine(in);
-    Map<String, String> headers = new LinkedHashMap<>();
-    for (String header = readLine(in); !header.isEmpty(); header = readLine(in)) {
-      int colon = header.indexOf(':');
-      headers.put(
-          header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).trim());
-    }
-    int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-    String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
-    return new Received(line, headers, body);
-  }
-
-  private static String readLine(InputStream in) throws IOException {
-    StringBuilder line = new StringBuilder();
-    for (int c = in.read(); c != '\n'; c = in.read()) {
-      if (c < 0) {
-        throw new EOFException();
-      }
-      if (c != '\r') {
-        line.append((char) c);
-      }
-    }
-    return line.toString();
-  }
-
   private boolean respond(Socket socket, Received request) throws IOException {
     OutputStream out = socket.getOutputStream();
     String attemptId = request.header("x-attempt-id");
