Let a new version advance only on complete responses, and count overdue ones

A version eight times slower had few of them when all requests went to it.

Change: each instance compares a response with the usual time of its route and model; slow ones, and open or cancelled ones that are overdue, travel with the evidence and withdraw a version. Steps beyond the trial need six complete responses that are not slow; peers catch up with the step of another. A version that got hardly any requests still advances from 0.70 of the time on.

testSlowVersionGetsFewRequestsBeforeItsResponsesEnd failed before (the version was completed). Ruled out: the digests' delay; the pooled counts were there, they were empty.

--- a/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
@@ -17,15 +17,27 @@
   private static final double TRIAL_SHARE = 0.06;
 
   /**
-   * Steps that include sessions, by progress. Sessions keep their version in the first half of the
-   * rollout. If nearly all requests belong to sessions, the first of these steps is the first to
-   * yield evidence on the new version, so its share is as small as that of the trial.
+   * Steps by progress. Sessions keep their version in the first half of the rollout. If nearly all
+   * requests belong to sessions, the first step that includes them is the first to yield evidence
+   * on the new version, so its share is as small as that of the trial. The steps after it need
+   * proof.
    */
   private static final List<Step> STEPS =
-      List.of(new Step(0.505, TRIAL_SHARE), new Step(0.55, 0.18), new Step(0.585, 0.45));
+      List.of(
+          new Step(0, TRIAL_SHARE, false, false),
+          new Step(0.505, TRIAL_SHARE, true, false),
+          new Step(0.55, 0.18, true, true),
+          new Step(0.585, 0.45, true, true),
+          new Step(0.62, 1, true, true));
 
-  /** Progress from which all requests go to the new version. */
-  private static final double ALL_REQUESTS_PROGRESS = 0.62;
+  /** Least progress between two steps, if proof came late. */
+  private static final double MIN_STEP_PROGRESS = 0.02;
+
+  /**
+   * Progress from which a version that got fewer requests than a proof takes may advance without
+   * one: there is so little traffic that even all of it stays within the allowed exposure.
+   */
+  private static final double UNPROVEN_PROGRESS = 0.70;
 
   /** Progress from which the rollout may complete if the old version has no in-flight requests. */
   private static final double MIN_COMPLETION_PROGRESS = 0.70;
@@ -48,15 +60,34 @@
   /** Tolerated multiple of the time per unit of output of the other versions. */
   private static final double MAX_PACE_FACTOR = 3;
 
+  /** Slow responses needed for a rollback. */
+  private static final int MIN_SLOW = 4;
+
+  /** Ratio of slow responses of the new version that is tolerated in any case. */
+  private static final double MAX_SLOW_RATIO = 0.5;
+
+  /** Tolerated multiple of the ratio of slow responses of the other versions. */
+  private static final double MAX_SLOW_FACTOR = 2;
+
   private final RolloutOrder order;
   private final Map<String, VersionStats> targetBySource = new HashMap<>();
   private final Map<String, VersionStats> othersBySource = new HashMap<>();
   private long startedAt;
   private boolean rolledBack;
   private boolean completed;
+  private int step;
+  private double lastStepProgress;
 
-  /** A share of the requests that goes to the new version from a given progress on. */
-  private record Step(double fromProgress, double share) {}
+  /**
+   * A share of the requests that goes to the new version from a given progress on.
+   *
+   * @param fromProgress progress of the rollout, 0 to 1
+   * @param share share of the requests, 0 to 1
+   * @param includesSessions whether requests of a session may move to the new version
+   * @param needsProof whether the step needs complete responses that show no fault
+   */
+  private record Step(
+      double fromProgress, double share, boolean includesSessions, boolean needsProof) {}
 
   private RolloutStateMachine(RolloutOrder order, long startedAt) {
     this.order = order;
@@ -136,7 +167,46 @@
         target.succeeded() >= MIN_PACE_SAMPLES
             && others.succeeded() >= MIN_PACE_SAMPLES
             && target.meanMillisPerUnit() > MAX_PACE_FACTOR * others.meanMillisPerUnit();
-    return fails || slow;
+    double maxSlowRatio = Math.max(MAX_SLOW_RATIO, MAX_SLOW_FACTOR * others.slowRatio());
+    boolean oftenSlow = target.slowCount() >= MIN_SLOW && target.slowRatio() > maxSlowRatio;
+    return fails || slow || oftenSlow;
+  }
+
+  /** Returns whether a step may be taken that needs proof. */
+  private boolean mayTakeProvenStep(double progress) {
+    VersionStats target = sum(targetBySource);
+    if (target.requestCount() < MIN_PACE_SAMPLES) {
+      return progress >= UNPROVEN_PROGRESS;
+    }
+    return target.succeeded() >= MIN_PACE_SAMPLES
+        && target.slowRatio() <= MAX_SLOW_RATIO
+        && progress >= lastStepProgress + MIN_STEP_PROGRESS;
+  }
+
+  private void takeSteps(double progress) {
+    while (step + 1 < STEPS.size()) {
+      Step next = STEPS.get(step + 1);
+      boolean due = progress >= next.fromProgress();
+      if (!due || (next.needsProof() && !mayTakeProvenStep(progress))) {
+        return;
+      }
+      step++;
+      lastStepProgress = progress;
+    }
+  }
+
+  /** Takes the steps that a peer has taken, unless the version is rolled back. */
+  public void catchUp(int peerStep) {
+    step = Math.max(step, Math.min(peerStep, STEPS.size() - 1));
+  }
+
+  /** Returns the number of steps that were taken. */
+  public int step() {
+    return step;
+  }
+
+  private boolean hasTakenAllSteps() {
+    return step == STEPS.size() - 1;
   }
 
   private static VersionStats sum(Map<String, VersionStats> bySource) {
@@ -152,17 +222,13 @@
     if (rolledBack) {
       return new VersionRule.Except(order.targetVersion());
     }
-    double progress = progress(now);
-    if (completed || progress >= ALL_REQUESTS_PROGRESS) {
+    takeSteps(progress(now));
+    if (completed || hasTakenAllSteps()) {
       return new VersionRule.Only(order.targetVersion());
     }
-    VersionRule.Trial trial = new VersionRule.Trial(order.targetVersion(), TRIAL_SHARE, false);
-    for (Step step : STEPS) {
-      if (progress >= step.fromProgress()) {
-        trial = new VersionRule.Trial(order.targetVersion(), step.share(), true);
-      }
-    }
-    return trial;
+    Step current = STEPS.get(step);
+    return new VersionRule.Trial(
+        order.targetVersion(), current.share(), current.includesSessions());
   }
 
   /** Returns the current phase. */
@@ -174,7 +240,9 @@
       return Phase.WITHDRAWN;
     }
     double progress = progress(now);
+    takeSteps(progress);
     boolean idle = progress >= MIN_COMPLETION_PROGRESS && sum(othersBySource).inFlight() == 0;
-    return idle || progress >= MAX_COMPLETION_PROGRESS ? Phase.MAY_COMPLETE : Phase.RUNNING;
+    boolean timeIsUp = progress >= MAX_COMPLETION_PROGRESS;
+    return hasTakenAllSteps() && (idle || timeIsUp) ? Phase.MAY_COMPLETE : Phase.RUNNING;
   }
 }
--- a/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
+++ b/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.catalog.RolloutOrder;
@@ -17,7 +19,7 @@
 
   @Example
   void testGoodVersionAdvancesThroughAllSteps() {
-    machine.updateStats("own", new VersionStats(50, 0, 500, 0), new VersionStats(500, 3, 5_000, 9));
+    machine.updateStats("own", VersionStats.of(50, 0, 500, 0), VersionStats.of(500, 3, 5_000, 9));
     assertThat(machine.rule(SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.06, false));
     assertThat(machine.rule(12 * SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.06, false));
     assertThat(machine.rule(13 * SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.06, true));
@@ -25,13 +27,13 @@
     assertThat(machine.rule(14_500_000)).isEqualTo(new VersionRule.Trial("v2", 0.45, true));
     assertThat(machine.rule(16 * SECOND)).isEqualTo(new VersionRule.Only("v2"));
     assertThat(machine.phase(18 * SECOND)).isEqualTo(Phase.RUNNING);
-    machine.updateStats("own", new VersionStats(50, 0, 500, 4), new VersionStats(500, 3, 5_000, 0));
+    machine.updateStats("own", VersionStats.of(50, 0, 500, 4), VersionStats.of(500, 3, 5_000, 0));
     assertThat(machine.phase(18 * SECOND)).isEqualTo(Phase.MAY_COMPLETE);
   }
 
   @Example
   void testMayCompleteAtEndDespiteInFlightRequests() {
-    machine.updateStats("own", VersionStats.NONE, new VersionStats(0, 0, 0, 3));
+    machine.updateStats("own", VersionStats.NONE, VersionStats.of(0, 0, 0, 3));
     assertThat(machine.phase(21 * SECOND)).isEqualTo(Phase.MAY_COMPLETE);
   }
 
@@ -53,9 +55,9 @@
       good[i + 1] = good[i] + (sentToTarget && i % 2 == 1 ? 1 : 0);
       bad[i + 1] = bad[i] + (sentToTarget && i % 2 == 0 ? 1 : 0);
       int observed = Math.max(0, i - 144);
-      VersionStats others = new VersionStats(observed, 0, observed, 0);
+      VersionStats others = VersionStats.of(observed, 0, observed, 0);
       machine.updateStats(
-          "a", new VersionStats(good[observed], bad[observed], good[observed], 0), others);
+          "a", VersionStats.of(good[observed], bad[observed], good[observed], 0), others);
     }
     assertThat(machine.phase(16 * SECOND)).isEqualTo(Phase.WITHDRAWN);
     assertThat(bad[i]).isLessThanOrEqualTo(12);
@@ -76,7 +78,7 @@
         good += random.nextDouble() < 0.5 ? 1 : 0;
         bad += random.nextDouble() < 0.5 ? 1 : 0;
         rollout.updateStats(
-            "a", new VersionStats(good, bad, good, 0), new VersionStats(300, 2, 300, 0));
+            "a", VersionStats.of(good, bad, good, 0), VersionStats.of(300, 2, 300, 0));
       }
       failuresBySeed[seed] = bad;
       assertThat(rollout.phase(SECOND)).isEqualTo(Phase.WITHDRAWN);
@@ -90,20 +92,82 @@
   void testAggregatesEvidenceOfAllInstances() {
     for (int i = 0; i < 4; i++) {
       assertThat(machine.phase(SECOND)).isEqualTo(Phase.RUNNING);
-      machine.updateStats("i" + i, new VersionStats(0, 1, 0, 0), new VersionStats(60, 0, 60, 0));
+      machine.updateStats("i" + i, VersionStats.of(0, 1, 0, 0), VersionStats.of(60, 0, 60, 0));
     }
     assertThat(machine.phase(SECOND)).isEqualTo(Phase.WITHDRAWN);
   }
 
   @Example
   void testRollsBackMuchSlowerVersion() {
-    machine.updateStats("own", new VersionStats(8, 0, 800, 0), new VersionStats(100, 0, 1_200, 0));
+    machine.updateStats("own", VersionStats.of(8, 0, 800, 0), VersionStats.of(100, 0, 1_200, 0));
     assertThat(machine.phase(SECOND)).isEqualTo(Phase.WITHDRAWN);
   }
 
+  /** A response of the target version in the simulation of a slow one. */
+  private record Send(long at, boolean toTarget) {}
+
+  /**
+   * Simulates requests that all belong to sessions and a target version that takes eight times as
+   * long as the others, so that hardly any of its responses is complete before all requests go to
+   * it by the schedule.
+   *
+   * @return share of the requests that are sent to the target version until it is rolled back
+   */
+  private static double shareOfSlowVersion(int perSecond, long durationMillis, long lagMicros) {
+    RolloutStateMachine rollout =
+        RolloutStateMachine.create(new RolloutOrder(7, "pool", "v2", durationMillis), 0);
+    long usualMicros = 1_000_000;
+    List<Send> sends = new ArrayList<>();
+    int total = (int) (perSecond * durationMillis / 1_000);
+    int exposed = 0;
+    for (int i = 0; i < total; i++) {
+      long now = i * SECOND / perSecond;
+      VersionRule rule = rollout.rule(now);
+      boolean toTarget =
+          rule instanceof VersionRule.Only
+              || (rule instanceof VersionRule.Trial trial
+                  && trial.includesSessions()
+                  && i * 37 % 100 < 100 * trial.share());
+      sends.add(new Send(now, toTarget));
+      exposed += toTarget ? 1 : 0;
+      long seen = now - lagMicros;
+      VersionStats target = VersionStats.NONE;
+      VersionStats others = VersionStats.NONE;
+      for (Send send : sends) {
+        long age = seen - send.at();
+        if (age < 0) {
+          continue;
+        }
+        if (send.toTarget()) {
+          boolean complete = age >= 8 * usualMicros;
+          boolean overdue = !complete && age > 2 * usualMicros;
+          target =
+              target.plus(
+                  complete
+                      ? new VersionStats(1, 0, 400, 0, 1, 0)
+                      : new VersionStats(0, 0, 0, 1, 0, overdue ? 1 : 0));
+        } else {
+          others =
+              others.plus(
+                  age >= usualMicros ? VersionStats.of(1, 0, 50, 0) : VersionStats.of(0, 0, 0, 1));
+        }
+      }
+      rollout.updateStats("a", target, others);
+    }
+    assertThat(rollout.phase(durationMillis * 1_000)).isEqualTo(Phase.WITHDRAWN);
+    return exposed / (double) total;
+  }
+
+  @Example
+  void testSlowVersionGetsFewRequestsBeforeItsResponsesEnd() {
+    assertThat(shareOfSlowVersion(65, 15_200, 600_000)).isLessThan(0.0975);
+    assertThat(shareOfSlowVersion(240, 24_000, 2_000_000)).isLessThan(0.0975);
+    assertThat(shareOfSlowVersion(240, 10_000, 1_000_000)).isLessThan(0.0975);
+  }
+
   @Example
   void testToleratesUsualFailureRatio() {
-    machine.updateStats("own", new VersionStats(12, 3, 12, 0), new VersionStats(80, 20, 80, 0));
+    machine.updateStats("own", VersionStats.of(12, 3, 12, 0), VersionStats.of(80, 20, 80, 0));
     assertThat(machine.phase(SECOND)).isEqualTo(Phase.RUNNING);
   }
 
@@ -111,7 +175,7 @@
   void testCompletedRolloutIsNotRolledBack() {
     machine.markCompleted();
     machine.rollBack();
-    machine.updateStats("own", new VersionStats(0, 40, 0, 0), VersionStats.NONE);
+    machine.updateStats("own", VersionStats.of(0, 40, 0, 0), VersionStats.NONE);
     assertThat(machine.rule(SECOND)).isEqualTo(new VersionRule.Only("v2"));
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -5,6 +5,7 @@
 import org.kumquatplank.core.dispatch.LoadReport;
 import org.kumquatplank.core.dispatch.SendState;
 import org.kumquatplank.core.dispatch.SendTracker;
+import org.kumquatplank.core.rollout.UsualPace;
 import org.kumquatplank.platform.wire.BackendResponseHead;
 
 /**
@@ -21,6 +22,7 @@
   private final BackendSelector.Selection selection;
   private final SendTracker sendTracker;
   private final int sendNumber;
+  private final UsualPace.Work work;
   private final boolean noPrefillAhead;
   private BackendConnection connection;
   private BackendResponseHead head;
@@ -38,6 +40,7 @@
     this.sendTracker = sendTracker;
     this.sendNumber = sendTracker.addSend();
     this.noPrefillAhead = selection.backend().totalPendingPrefillTokens(now) == 0;
+    this.work = new UsualPace.Work(exchange.request().route().name(), exchange.model());
     this.sentAt = now;
     this.lastProgressAt = now;
     selection.backend().requestStarted(selection.prefillTokens());
@@ -52,6 +55,15 @@
     return selection;
   }
 
+  /** Returns the kind of work that the call is, for a comparison of its time. */
+  UsualPace.Work work() {
+    return work;
+  }
+
+  int eventCount() {
+    return exchange.eventCount();
+  }
+
   String requestId() {
     return exchange.request().id();
   }
@@ -188,6 +200,7 @@
   /** Cancels the request at the backend server by closing its connection. */
   void cancel() {
     if (!ended) {
+      exchange.dispatcher().onCancelled(this);
       finish();
       if (connection != null) {
         connection.cancel();
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,7 +21,6 @@
 import org.kumquatplank.core.dispatch.CrashEvidence;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
-import org.kumquatplank.core.rollout.VersionStats;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.platform.wire.DiscoveryProtocol;
 import org.kumquatplank.platform.wire.EdgeSettings;
@@ -211,16 +209,9 @@
   }
 
   private TrafficReport report() {
-    Map<VersionCounts.Key, VersionStats> evidence =
-        new HashMap<>(dispatcher.versionCounts().snapshot());
-    dispatcher
-        .inFlightByVersion()
-        .forEach(
-            (key, inFlight) ->
-                evidence.merge(key, new VersionStats(0, 0, 0, inFlight), VersionStats::plus));
     return new TrafficReport(
         dispatcher.ownLoads(),
-        evidence,
+        dispatcher.versionStats(),
         dispatcher.crashDetector().evidence(),
         dispatcher.isReady());
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -25,6 +25,7 @@
 import org.kumquatplank.core.dispatch.SilenceTimeout;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.dispatch.WaitQueue;
+import org.kumquatplank.core.rollout.VersionStats;
 import org.kumquatplank.platform.wire.BackendResponseHead;
 import org.kumquatplank.platform.wire.EdgeSettings;
 
@@ -82,6 +83,7 @@
 
   void setVersionRules(Map<String, VersionRule> newRules) {
     versionRules = newRules;
+    versionCounts.setRules(newRules);
   }
 
   void setLiveInstances(int live) {
@@ -108,13 +110,9 @@
     return pool;
   }
 
-  VersionCounts versionCounts() {
-    return versionCounts;
-  }
-
-  /** Returns the number of in-flight requests per version of each service. */
-  Map<VersionCounts.Key, Integer> inFlightByVersion() {
-    return VersionCounts.inFlightByVersion(registry.all());
+  /** Returns what this instance has seen of each version of each service. */
+  Map<VersionCounts.Key, VersionStats> versionStats() {
+    return versionCounts.snapshot(registry.all(), exchanges, Clock.micros());
   }
 
   int openExchanges() {
@@ -353,9 +351,7 @@
   void onSuccess(Exchange exchange, BackendCall call, int eventCount) {
     long now = Clock.micros();
     call.selection().backend().recordSuccess(now);
-    long millis = (now - call.sentAt()) / MICROS_PER_MILLI;
-    versionCounts.addSuccess(
-        call.selection().backend().server(), millis / (double) (1 + eventCount));
+    versionCounts.addSuccess(call, eventCount, now);
     metrics.time(exchange.request().route().name(), now - exchange.request().arrivalMicros());
   }
 
@@ -367,6 +363,10 @@
     ExchangeLog.failed(exchange, backend.server(), reason);
   }
 
+  void onCancelled(BackendCall call) {
+    versionCounts.addCancelled(call, Clock.micros());
+  }
+
   void onSilent(Exchange exchange, BackendCall call, long silentMicros) {
     BackendState backend = call.selection().backend();
     backend.recordFailure(Clock.micros());
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -92,14 +92,7 @@
       boolean same = key.service().equals(machine.order().service());
       if (same && key.version().equals(machine.order().targetVersion()) == target) {
         VersionStats old = start.getOrDefault(key, VersionStats.NONE);
-        VersionStats now = entry.getValue();
-        sum =
-            sum.plus(
-                new VersionStats(
-                    now.succeeded() - old.succeeded(),
-                    now.failed() - old.failed(),
-                    now.totalMillisPerUnit() - old.totalMillisPerUnit(),
-                    now.inFlight()));
+        sum = sum.plus(entry.getValue().since(old));
       }
     }
     return sum;
@@ -117,6 +110,7 @@
               .setOrder(machine.order().offset())
               .setElapsedMillis(Math.max(0, machine.elapsedMicros(now) / 1_000))
               .setWithdrawn(phase == RolloutStateMachine.Phase.WITHDRAWN)
+              .setStep(machine.step())
               .setTarget(encode(ownEvidence(machine, true)))
               .setRest(encode(ownEvidence(machine, false))));
     }
@@ -128,12 +122,19 @@
         .setBad(evidence.failed())
         .setPaceMillis(evidence.totalMillisPerUnit())
         .setOpen(evidence.inFlight())
+        .setSlow(evidence.slow())
+        .setOverdue(evidence.overdue())
         .build();
   }
 
   private static VersionStats decode(VersionEvidence evidence) {
     return new VersionStats(
-        evidence.getGood(), evidence.getBad(), evidence.getPaceMillis(), evidence.getOpen());
+        evidence.getGood(),
+        evidence.getBad(),
+        evidence.getPaceMillis(),
+        evidence.getOpen(),
+        evidence.getSlow(),
+        evidence.getOverdue());
   }
 
   void onDigest(EdgeDigest digest, long now) {
@@ -146,6 +147,7 @@
       // A restarted instance counts from zero under a new source; its earlier evidence is kept.
       String source = digest.getInstance() + "/" + digest.getStartedMillis();
       machine.updateStats(source, decode(rollout.getTarget()), decode(rollout.getRest()));
+      machine.catchUp(rollout.getStep());
       if (rollout.getWithdrawn()) {
         machine.rollBack();
       }
