--- a/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
@@ -209,6 +209,16 @@
     return step == STEPS.size() - 1;
   }
 
+  /** Returns the evidence of all instances on the target version. */
+  public VersionStats targetStats() {
+    return sum(targetBySource);
+  }
+
+  /** Returns the evidence of all instances on the other versions. */
+  public VersionStats otherStats() {
+    return sum(othersBySource);
+  }
+
   private static VersionStats sum(Map<String, VersionStats> bySource) {
     return bySource.values().stream().reduce(VersionStats.NONE, VersionStats::plus);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -38,12 +38,16 @@
   private final Map<String, Set<String>> knownVersions = new HashMap<>();
   private final Map<Long, RolloutStatus.State> recordedStates = new HashMap<>();
   private final Map<Long, Long> startedMillis = new HashMap<>();
+  private final Map<Long, Progress> loggedProgress = new HashMap<>();
   private Map<VersionCounts.Key, VersionStats> evidence = Map.of();
   private List<BackendServer> servers = List.of();
   private boolean statusKnown;
   private boolean storeCallPending;
   private long nextSyncAt;
 
+  /** Phase and steps of a roll-out, as last logged. */
+  private record Progress(RolloutStateMachine.Phase phase, int step) {}
+
   RolloutManager(StoreClient store) {
     this.store = store;
   }
@@ -164,9 +168,25 @@
       }
     }
     machines.forEach((service, machine) -> rules.put(service, rule(service, machine, now)));
+    machines.values().forEach(machine -> logChange(machine, now));
     return rules;
   }
 
+  private void logChange(RolloutStateMachine machine, long now) {
+    Progress progress = new Progress(machine.phase(now), machine.step());
+    if (!progress.equals(loggedProgress.put(machine.order().offset(), progress))) {
+      EdgeLog.event("rollout_progress")
+          .addKeyValue("service", machine.order().service())
+          .addKeyValue("order", machine.order().offset())
+          .addKeyValue("elapsed_ms", machine.elapsedMicros(now) / 1_000)
+          .addKeyValue("phase", progress.phase())
+          .addKeyValue("step", progress.step())
+          .addKeyValue("target", machine.targetStats())
+          .addKeyValue("others", machine.otherStats())
+          .log();
+    }
+  }
+
   private VersionRule rule(String service, RolloutStateMachine machine, long now) {
     VersionRule rule = machine.rule(now);
     boolean served =
