--- a/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
@@ -60,14 +60,22 @@
   /** Tolerated multiple of the time per unit of output of the other versions. */
   private static final double MAX_PACE_FACTOR = 3;
 
-  /** Slow responses needed for a rollback. */
-  private static final int MIN_SLOW = 4;
+  /** Slow responses needed for a rollback; fewer may be chance. */
+  private static final int MIN_SLOW = 3;
 
-  /** Ratio of slow responses of the new version that is tolerated in any case. */
-  private static final double MAX_SLOW_RATIO = 0.5;
+  /** Ratio of slow responses of the new version that does not cause a rollback in any case. */
+  private static final double MAX_SLOW_RATIO = 0.25;
 
-  /** Tolerated multiple of the ratio of slow responses of the other versions. */
-  private static final double MAX_SLOW_FACTOR = 2;
+  /** Multiple of the ratio of slow responses of the other versions that causes no rollback. */
+  private static final double MAX_SLOW_FACTOR = 3;
+
+  /**
+   * Ratio of slow responses, and multiple of that of the other versions, with which a version still
+   * proves good. Lower than those of a rollback: between them, the trial goes on with its share.
+   */
+  private static final double MAX_PROVEN_SLOW_RATIO = 0.15;
+
+  private static final double MAX_PROVEN_SLOW_FACTOR = 1.5;
 
   private final RolloutOrder order;
   private final Map<String, VersionStats> targetBySource = new HashMap<>();
@@ -167,8 +175,9 @@
         target.succeeded() >= MIN_PACE_SAMPLES
             && others.succeeded() >= MIN_PACE_SAMPLES
             && target.meanMillisPerUnit() > MAX_PACE_FACTOR * others.meanMillisPerUnit();
-    double maxSlowRatio = Math.max(MAX_SLOW_RATIO, MAX_SLOW_FACTOR * others.slowRatio());
-    boolean oftenSlow = target.slowCount() >= MIN_SLOW && target.slowRatio() > maxSlowRatio;
+    boolean oftenSlow =
+        target.slowCount() >= MIN_SLOW
+            && !target.isSlowAtMost(MAX_SLOW_RATIO, MAX_SLOW_FACTOR, others);
     return fails || slow || oftenSlow;
   }
 
@@ -179,7 +188,7 @@
       return progress >= UNPROVEN_PROGRESS;
     }
     return target.succeeded() >= MIN_PACE_SAMPLES
-        && target.slowRatio() <= MAX_SLOW_RATIO
+        && target.isSlowAtMost(MAX_PROVEN_SLOW_RATIO, MAX_PROVEN_SLOW_FACTOR, sum(othersBySource))
         && progress >= lastStepProgress + MIN_STEP_PROGRESS;
   }
 
@@ -196,8 +205,11 @@
   }
 
   /** Takes the steps that a peer has taken, unless the version is rolled back. */
-  public void catchUp(int peerStep) {
-    step = Math.max(step, Math.min(peerStep, STEPS.size() - 1));
+  public void catchUp(int peerStep, long now) {
+    if (peerStep > step) {
+      step = Math.min(peerStep, STEPS.size() - 1);
+      lastStepProgress = progress(now);
+    }
   }
 
   /** Returns the number of steps that were taken. */
--- a/core/src/main/java/org/kumquatplank/core/rollout/VersionStats.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/VersionStats.java
@@ -70,6 +70,14 @@
     return succeeded + failed;
   }
 
+  /**
+   * Returns whether the ratio of slow responses is at most the given one, or at most the given
+   * multiple of that of the other versions.
+   */
+  boolean isSlowAtMost(double ratio, double factor, VersionStats others) {
+    return slowRatio() <= Math.max(ratio, factor * others.slowRatio());
+  }
+
   /** Returns the ratio of failures, 0 if there are no responses. */
   public double failureRatio() {
     return responseCount() == 0 ? 0 : (double) failed / responseCount();
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -151,7 +151,7 @@
       // A restarted instance counts from zero under a new source; its earlier evidence is kept.
       String source = digest.getInstance() + "/" + digest.getStartedMillis();
       machine.updateStats(source, decode(rollout.getTarget()), decode(rollout.getRest()));
-      machine.catchUp(rollout.getStep());
+      machine.catchUp(rollout.getStep(), now);
       if (rollout.getWithdrawn()) {
         machine.rollBack();
       }
