--- a/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
@@ -66,6 +66,12 @@
   /** Ratio of slow responses of the new version that does not cause a rollback in any case. */
   private static final double MAX_SLOW_RATIO = 0.25;
 
+  /**
+   * The same when all requests go to the new version: its servers may have more load than the
+   * others had, which makes responses of a good version slow too.
+   */
+  private static final double MAX_SLOW_RATIO_OF_ALL = 0.5;
+
   /** Multiple of the ratio of slow responses of the other versions that causes no rollback. */
   private static final double MAX_SLOW_FACTOR = 3;
 
@@ -175,9 +181,10 @@
         target.succeeded() >= MIN_PACE_SAMPLES
             && others.succeeded() >= MIN_PACE_SAMPLES
             && target.meanMillisPerUnit() > MAX_PACE_FACTOR * others.meanMillisPerUnit();
+    double maxSlowRatio = hasTakenAllSteps() ? MAX_SLOW_RATIO_OF_ALL : MAX_SLOW_RATIO;
     boolean oftenSlow =
         target.slowCount() >= MIN_SLOW
-            && !target.isSlowAtMost(MAX_SLOW_RATIO, MAX_SLOW_FACTOR, others);
+            && !target.isSlowAtMost(maxSlowRatio, MAX_SLOW_FACTOR, others);
     return fails || slow || oftenSlow;
   }
 
--- a/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
+++ b/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
@@ -165,6 +165,35 @@
     assertThat(shareOfSlowVersion(240, 10_000, 1_000_000)).isLessThan(0.0975);
   }
 
+  /** Replays a good version whose servers are fewer than all, when it gets all requests. */
+  @Example
+  void testGoodVersionMayBeSlowerUnderAllRequests() {
+    VersionStats others = new VersionStats(480, 0, 22_000, 12, 23, 3);
+    machine.updateStats("own", new VersionStats(11, 0, 226, 9, 0, 0), others);
+    for (long now = 12 * SECOND; now < 18 * SECOND; now += SECOND / 10) {
+      machine.rule(now);
+    }
+    machine.updateStats("own", new VersionStats(43, 0, 2_691, 84, 5, 8), others);
+    assertThat(machine.rule(18 * SECOND)).isEqualTo(new VersionRule.Only("v2"));
+  }
+
+  @Example
+  void testDoubtfulVersionKeepsShareOfTrial() {
+    VersionStats others = new VersionStats(480, 0, 22_000, 110, 23, 6);
+    machine.updateStats("own", new VersionStats(6, 0, 401, 4, 1, 1), others);
+    assertThat(machine.rule(16 * SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.06, true));
+    assertThat(machine.phase(23 * SECOND)).isEqualTo(Phase.RUNNING);
+  }
+
+  @Example
+  void testStepOfPeerIsTakenAndTheNextOneWaits() {
+    VersionStats others = new VersionStats(480, 0, 22_000, 110, 23, 6);
+    machine.updateStats("own", new VersionStats(12, 0, 300, 4, 0, 0), others);
+    machine.catchUp(2, 20 * SECOND);
+    assertThat(machine.rule(20 * SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.18, true));
+    assertThat(machine.rule(20_500_000)).isEqualTo(new VersionRule.Trial("v2", 0.45, true));
+  }
+
   @Example
   void testToleratesUsualFailureRatio() {
     machine.updateStats("own", VersionStats.of(12, 3, 12, 0), VersionStats.of(80, 20, 80, 0));
