Say not run of a keyed call only if the log shows that nothing ran under its key

Cause: a rejection described one submission while callers read it as said of the key. An unconfirmed claim was NOT_RUN even after the key had been seen held, and so was a call rejected before its key was looked up. The client's parser also read any error with a time for the retry as NOT_RUN.

--- a/core/src/main/java/org/kumquatplank/core/claims/ClaimDecision.java
+++ b/core/src/main/java/org/kumquatplank/core/claims/ClaimDecision.java
@@ -27,6 +27,8 @@
    * be dispatched.
    *
    * @param reason description of the failure
+   * @param neverClaimed whether the log was read to its end after the claim was made and holds no
+   *     other claim of the key; only then is it certain that nothing ran under the key
    */
-  record Unavailable(String reason) implements ClaimDecision {}
+  record Unavailable(String reason, boolean neverClaimed) implements ClaimDecision {}
 }
--- a/core/src/main/java/org/kumquatplank/core/claims/LogClaimStore.java
+++ b/core/src/main/java/org/kumquatplank/core/claims/LogClaimStore.java
@@ -1,6 +1,7 @@
 package org.kumquatplank.core.claims;
 
 import java.time.Clock;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -27,6 +28,9 @@
 public final class LogClaimStore implements ClaimStore {
   private static final String STREAM_PREFIX = "claims-";
 
+  /** Time for reading what the log holds of a key, after an append that was not confirmed. */
+  private static final Duration READ_TIMEOUT = Duration.ofMillis(200);
+
   private final EventLog log;
   private final int partitions;
   private final Executor executor;
@@ -65,13 +69,27 @@
       }
       return decide(claim, partition.find(claim.key()));
     } catch (LogException e) {
-      return new ClaimDecision.Unavailable(String.valueOf(e.getMessage()));
+      return decideWithoutAppend(claim, partition, e);
+    }
+  }
+
+  /** Reads what the log says of the key, after a claim that it did not confirm. */
+  private ClaimDecision decideWithoutAppend(
+      Claimed claim, ClaimPartition partition, LogException cause) {
+    String reason = String.valueOf(cause.getMessage());
+    try {
+      partition.catchUp(clock.instant().plus(READ_TIMEOUT));
+    } catch (LogException e) {
+      return new ClaimDecision.Unavailable(reason + "; reading failed: " + e.getMessage(), false);
     }
+    Optional<ClaimIndex.KeyState> known = partition.find(claim.key());
+    boolean otherClaim = known.filter(state -> !state.nonce().equals(claim.nonce())).isPresent();
+    return otherClaim ? decide(claim, known) : new ClaimDecision.Unavailable(reason, true);
   }
 
   private static ClaimDecision decide(Claimed claim, Optional<ClaimIndex.KeyState> known) {
     if (known.isEmpty()) {
-      return new ClaimDecision.Unavailable("the claim was given up before it landed");
+      return new ClaimDecision.Unavailable("the claim was given up before it landed", true);
     }
     ClaimIndex.KeyState state = known.get();
     if (!state.fingerprint().equals(claim.fingerprint())) {
--- a/core/src/main/java/org/kumquatplank/core/claims/NonIdempotentCallExecutor.java
+++ b/core/src/main/java/org/kumquatplank/core/claims/NonIdempotentCallExecutor.java
@@ -88,6 +88,7 @@
    */
   public Outcome.Answered run(NonIdempotentCall call) {
     Claimed claim = new Claimed(call.key(), call.fingerprint(), nonces.get(), holder);
+    boolean wasHeld = false;
     while (true) {
       Instant claimDeadline =
           Deadlines.earlier(call.deadline(), clock.instant().plus(CLAIM_TIMEOUT));
@@ -98,21 +99,26 @@
         case ClaimDecision.AlreadyEnded(Outcome outcome) -> {
           return answeredOrThrow(outcome);
         }
-        case ClaimDecision.HeldByOther(String otherHolder) -> awaitHolder(call, otherHolder);
+        case ClaimDecision.HeldByOther(String otherHolder) -> {
+          wasHeld = true;
+          awaitHolder(call, otherHolder);
+        }
         case ClaimDecision.KeyReused() ->
             throw RouterException.notRun(
                 ErrorCode.KEY_REUSED, "the idempotency key was used for another call");
-        case ClaimDecision.Unavailable(String reason) -> throw abandon(claim, reason);
+        case ClaimDecision.Unavailable(String reason, boolean neverClaimed) ->
+            throw abandon(claim, reason, neverClaimed && !wasHeld);
       }
     }
   }
 
-  private RouterException abandon(Claimed claim, String reason) {
+  /** Gives up a claim; an earlier submission under the key may have run unless that is excluded. */
+  private RouterException abandon(Claimed claim, String reason, boolean neverClaimed) {
     pendingSettlements.add(settlement(claim, new Outcome.NotSent("claim abandoned")));
-    return RouterException.notRunUntil(
-        ErrorCode.LOG_UNAVAILABLE,
-        clock.instant().plus(RETRY_AFTER),
-        "the call could not be made safe against running twice: " + reason);
+    Instant retryAt = clock.instant().plus(RETRY_AFTER);
+    String message = "the call could not be made safe against running twice: " + reason;
+    ExecutionStatus ran = neverClaimed ? ExecutionStatus.NOT_RUN : ExecutionStatus.UNKNOWN;
+    return RouterException.retryLater(ErrorCode.LOG_UNAVAILABLE, ran, retryAt, message);
   }
 
   private Outcome.Answered dispatch(NonIdempotentCall call, Claimed claim) {
--- a/core/src/main/java/org/kumquatplank/core/error/RouterException.java
+++ b/core/src/main/java/org/kumquatplank/core/error/RouterException.java
@@ -43,6 +43,12 @@
     return new RouterException(code, ExecutionStatus.UNKNOWN, null, message, null);
   }
 
+  /** Returns a failure with the given execution status that is worth a retry at {@code retryAt}. */
+  public static RouterException retryLater(
+      ErrorCode code, ExecutionStatus ran, Instant retryAt, String message) {
+    return new RouterException(code, ran, retryAt, message, null);
+  }
+
   /** Returns a failure with the given execution status and cause; the cause may be null. */
   public static RouterException of(
       ErrorCode code, ExecutionStatus ran, String message, Throwable cause) {
--- a/daemon/src/main/java/org/kumquatplank/daemon/CallerApi.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/CallerApi.java
@@ -61,7 +61,7 @@
       requireMethod(request, "GET");
       return addresses(request.parameter("region").orElse(""));
     }
-    ClientAccount account = Authentication.authenticate(gate.requireFreshConfiguration(), request);
+    ClientAccount account = authenticate(request);
     if (request.path().equals("/v1/chat/completions")) {
       requireMethod(request, "POST");
       return chat.handle(account, request);
@@ -76,6 +76,14 @@
     throw RouterException.notRun(ErrorCode.NOT_FOUND, "there is nothing at this path");
   }
 
+  private ClientAccount authenticate(Request request) {
+    try {
+      return Authentication.authenticate(gate.requireFreshConfiguration(), request);
+    } catch (RouterException e) {
+      throw ServiceCallHandler.rejectionBeforeKeyLookup(request, e);
+    }
+  }
+
   private static void requireMethod(Request request, String method) {
     if (!request.method().equals(method)) {
       throw RouterException.notRun(
--- a/daemon/src/main/java/org/kumquatplank/daemon/LinkCodec.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/LinkCodec.java
@@ -74,7 +74,8 @@
       case ClaimDecision.AlreadyEnded(Outcome outcome) -> builder.setEnded(toProto(outcome));
       case ClaimDecision.HeldByOther(String holder) -> builder.setHeldBy(holder);
       case ClaimDecision.KeyReused() -> builder.setReused(true);
-      case ClaimDecision.Unavailable(String reason) -> builder.setUnavailable(reason);
+      case ClaimDecision.Unavailable(String reason, boolean neverClaimed) ->
+          builder.setUnavailable(reason);
     }
     return builder.build();
   }
@@ -85,7 +86,7 @@
       case ENDED -> fromProto(reply.getEnded()).map(ClaimDecision.AlreadyEnded::new);
       case HELD_BY -> Optional.of(new ClaimDecision.HeldByOther(reply.getHeldBy()));
       case REUSED -> Optional.of(new ClaimDecision.KeyReused());
-      case UNAVAILABLE -> Optional.of(new ClaimDecision.Unavailable(reply.getUnavailable()));
+      case UNAVAILABLE -> Optional.of(new ClaimDecision.Unavailable(reply.getUnavailable(), false));
       case DECISION_NOT_SET -> Optional.empty();
     };
   }
--- a/daemon/src/main/java/org/kumquatplank/daemon/ServiceCallHandler.java
+++ b/daemon/src/main/java/org/kumquatplank/daemon/ServiceCallHandler.java
@@ -89,7 +89,37 @@
     }
   }
 
+  /**
+   * Returns the rejection of a request whose idempotency key was not looked up. An earlier
+   * submission under the key may have run, so the caller must not be told otherwise.
+   */
+  static RouterException rejectionBeforeKeyLookup(Request request, RouterException rejection) {
+    boolean mayHaveRun =
+        request.path().startsWith(PATH_PREFIX)
+            && request.headers().first("Idempotency-Key").isPresent();
+    return mayHaveRun
+        ? RouterException.of(
+            rejection.code(), ExecutionStatus.UNKNOWN, rejection.getMessage(), rejection)
+        : rejection;
+  }
+
   Response handle(ClientAccount account, Request request) {
+    PlainService service;
+    try {
+      service = findService(account, request);
+    } catch (RouterException e) {
+      throw rejectionBeforeKeyLookup(request, e);
+    }
+    Call call = new Call(requestIds.get(), account, service, request, clock.micros());
+    try {
+      return serve(call);
+    } catch (RouterException e) {
+      requestLog.failed(entry(call), e);
+      throw e;
+    }
+  }
+
+  private PlainService findService(ClientAccount account, Request request) {
     Configuration configuration = gate.requireFreshConfiguration();
     String suffix = request.path().substring(PATH_PREFIX.length());
     String name = suffix.contains("/") ? suffix.substring(0, suffix.indexOf('/')) : suffix;
@@ -104,13 +134,7 @@
       throw RouterException.notRun(
           ErrorCode.SERVICE_NOT_ALLOWED, "the account may not use this service");
     }
-    Call call = new Call(requestIds.get(), account, service, request, clock.micros());
-    try {
-      return serve(call);
-    } catch (RouterException e) {
-      requestLog.failed(entry(call), e);
-      throw e;
-    }
+    return service;
   }
 
   private Response serve(Call call) {
--- a/daemon/src/test/java/org/kumquatplank/daemon/CallerApiTest.java
+++ b/daemon/src/test/java/org/kumquatplank/daemon/CallerApiTest.java
@@ -10,6 +10,7 @@
 import org.kumquatplank.core.config.ClientAccount;
 import org.kumquatplank.core.config.ConfigOp;
 import org.kumquatplank.core.error.ErrorCode;
+import org.kumquatplank.core.error.ExecutionStatus;
 import org.kumquatplank.core.error.RouterException;
 import org.kumquatplank.http.Request;
 import org.kumquatplank.http.Response;
@@ -39,6 +40,10 @@
     return catchThrowableOfType(RouterException.class, () -> api.handle(request)).code();
   }
 
+  private static ExecutionStatus statusOf(CallerApi api, Request request) {
+    return catchThrowableOfType(RouterException.class, () -> api.handle(request)).executionStatus();
+  }
+
   @Example
   void testUnknownCredentialIsWrongWhileTheConfigurationIsFresh() {
     try (InstanceFixture instance = new InstanceFixture()) {
@@ -58,4 +63,19 @@
       assertThat(errorOf(api, modelsWith("key"))).isEqualTo(ErrorCode.STALE_CONFIGURATION);
     }
   }
+
+  // Another instance may have run the booking under this key before.
+  @Example
+  void testRejectionBeforeLookupOfIdempotencyKeyDoesNotSayNotRun() {
+    try (InstanceFixture instance = new InstanceFixture()) {
+      CallerApi api = apiOf(instance);
+      instance.nanos.set(InstanceFixture.STALE_NANOS);
+      Request booking =
+          Request.post("/v1/services/press/bookings", "{}")
+              .withHeader("Authorization", "Bearer key");
+      assertThat(statusOf(api, booking)).isEqualTo(ExecutionStatus.NOT_RUN);
+      assertThat(statusOf(api, booking.withHeader("Idempotency-Key", "k")))
+          .isEqualTo(ExecutionStatus.UNKNOWN);
+    }
+  }
 }
--- a/http/src/main/java/org/kumquatplank/http/ErrorResponses.java
+++ b/http/src/main/java/org/kumquatplank/http/ErrorResponses.java
@@ -65,10 +65,9 @@
 
   private static RouterException toException(Detail detail) {
     ErrorCode code = ErrorCode.valueOf(detail.code().toUpperCase(java.util.Locale.ROOT));
-    if (detail.retry_at() != null) {
-      return RouterException.notRunUntil(code, Instant.parse(detail.retry_at()), detail.message());
-    }
     ExecutionStatus ran = ExecutionStatus.valueOf(detail.ran().toUpperCase(java.util.Locale.ROOT));
-    return RouterException.of(code, ran, detail.message(), null);
+    return detail.retry_at() == null
+        ? RouterException.of(code, ran, detail.message(), null)
+        : RouterException.retryLater(code, ran, Instant.parse(detail.retry_at()), detail.message());
   }
 }
