Take no response without an id for that of a request on a kept connection

Report of other operators: a server repeats an earlier rejection on a kept connection. With the id of the earlier request it was skipped already; without an id it was taken for the response to the next request: 503 for a request that ran, and a foreign success was forwarded. testRejectionWithoutIdOnKeptConnection... and testSuccessWithoutIdOnKeptConnection... failed before (503 and 200 instead of 502).

Streams that break off while all others respond with an error: BrokenStreamTest held on the code before.

--- a/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
@@ -54,6 +54,7 @@
   private int skippedResponses;
   private boolean skippingResponse;
   private boolean sawForeignResponse;
+  private boolean carriedRequest;
   private boolean reset;
   private boolean requestWritten;
   private long idleDeadline;
@@ -199,6 +200,11 @@
         return;
       }
       BackendResponseHead newHead = BackendProtocol.decode(response);
+      if (carriedRequest && newHead.attemptId().isEmpty()) {
+        // It may be a repetition of an earlier response, so it says nothing about this request.
+        closeBroken("an answer without an id on a kept connection");
+        return;
+      }
       if (newHead.attemptId().isPresent() && !newHead.attemptId().get().equals(call.requestId())) {
         // A late duplicate response to an earlier request; the expected one may follow.
         sawForeignResponse = true;
@@ -253,6 +259,7 @@
       }
       BackendCall ended = call;
       call = null;
+      carriedRequest = true;
       boolean clean = requestWritten && !sawForeignResponse && !decoder.hasUnreadBytes();
       if (clean && head.connectionReusable() && channel.isActive()) {
         channel.config().setAutoRead(true);
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -91,6 +91,15 @@
     /** Responds, and then sends a response to another request on the same connection. */
     record AnswerTwice(String body) implements Behaviour {}
 
+    /**
+     * Sends bytes that belong to no request, as an earlier response once more, and then executes
+     * the request and responds.
+     */
+    record StrayBytes(String stray, String body) implements Behaviour {}
+
+    /** Executes the request, sends these bytes, and closes the connection. */
+    record Raw(String bytes) implements Behaviour {}
+
     /** Closes the connection before the end of the response body. */
     record CutOff(String body) implements Behaviour {}
 
@@ -255,6 +264,11 @@
         pause(LATE_RESPONSE_MILLIS);
         write(out, fullResponse(200, "another-request", "not yours"));
       }
+      case Behaviour.StrayBytes s -> write(out, s.stray() + fullResponse(200, attemptId, s.body()));
+      case Behaviour.Raw r -> {
+        write(out, r.bytes());
+        return false;
+      }
       case Behaviour.CutOff c -> {
         String response = fullResponse(200, attemptId, c.body());
         write(out, response.substring(0, response.length() - 2));
