Reject odd records by field, and go on with the others

Report of other operators: one odd entry of another writer ended the machines that read the list, or they stopped following it. Deep nesting was rejected already.

--- a/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
@@ -20,12 +20,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.kumquatplank.link.proto.EdgeDatagram;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.wire.SettingsDecoder;
+import org.kumquatplank.platform.wire.WireException;
 
 /**
  * The peers of this instance, known by the digests that they send.
@@ -148,21 +150,34 @@
     }
     peers.put(digest.getInstance(), new Peer(digest, packet.sender(), now));
     probeUntil.remove(packet.sender());
-    for (String address : digest.getKnownPeersList()) {
-      InetSocketAddress other = SettingsDecoder.address(address);
-      boolean isKnown = peers.values().stream().anyMatch(p -> p.address().equals(other));
-      if (!isKnown && !other.equals(channel.localAddress())) {
-        probe(other, now);
-      }
-    }
+    digest
+        .getKnownPeersList()
+        .forEach(address -> parseAddress(address).ifPresent(a -> learn(a, now)));
     String reader = digest.getOperatorReaderAddress();
     boolean unfollowed = !reader.isEmpty() && !reader.equals(followedReader);
     if (unfollowed && digest.getRegion().equals(region)) {
-      readersOfPeers.add(SettingsDecoder.address(reader));
+      parseAddress(reader).ifPresent(readersOfPeers::add);
     }
     listener.onDigest(digest);
   }
 
+  private void learn(InetSocketAddress address, long now) {
+    boolean isKnown = peers.values().stream().anyMatch(p -> p.address().equals(address));
+    if (!isKnown && !address.equals(channel.localAddress())) {
+      probe(address, now);
+    }
+  }
+
+  /** Returns the address in a digest; a malformed one must not hide the rest of the digest. */
+  private static Optional<InetSocketAddress> parseAddress(String text) {
+    try {
+      return Optional.of(SettingsDecoder.address(text));
+    } catch (WireException e) {
+      EdgeLog.problem("peer_address", e);
+      return Optional.empty();
+    }
+  }
+
   /** Sends the digest of this instance to some peers and probed addresses. */
   void send(EdgeDigest.Builder digest, long now) {
     digest.setInstance(self).setStartedMillis(startedMillis);
--- a/edge/src/test/java/org/kumquatplank/edge/ServerListTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/ServerListTest.java
@@ -54,6 +54,27 @@
     assertThat(sizeAt(SECOND)).isEqualTo(1);
   }
 
+  // A reader passes on what it applied; an entry that nobody can use must not travel.
+  @Example
+  void testOddEntryAmongOthersIsSkippedAndNotPassedOn() {
+    String nested = "{\"a\":".repeat(50_000) + "1" + "}".repeat(50_000);
+    String[] odd = {
+      nested,
+      new String(entry(0, "x").value().orElseThrow(), StandardCharsets.UTF_8)
+          .replace(":80\"", ":1e400\""),
+      new String(entry(0, "x").value().orElseThrow(), StandardCharsets.UTF_8)
+          .replace(":6,", ":1e400,")
+    };
+    long offset = 1;
+    for (String text : odd) {
+      StoreRecord record =
+          new StoreRecord(offset++, "odd", Optional.of(text.getBytes(StandardCharsets.UTF_8)));
+      StoreRecord sound = entry(offset++, "s" + offset);
+      assertThat(list.onChanges(List.of(record, sound), SECOND)).containsExactly(sound);
+    }
+    assertThat(sizeAt(SECOND)).isEqualTo(3);
+  }
+
   @Example
   void testUnreadableEntryIsIgnored() {
     list.onSnapshot(List.of(entry(0, "a")), 0);
