--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -66,7 +66,7 @@
   private final StoreFollower serverRecords;
   private Optional<Catalog> catalog = Optional.empty();
   private Map<String, VersionRule> versionRules = Map.of();
-  private TrafficReport trafficReport = TrafficReport.NOTHING;
+  private volatile TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
   private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
@@ -139,8 +139,9 @@
         });
   }
 
+  /** Takes over a report of the data plane; called on its thread, and does not wake this one. */
   void onReport(TrafficReport newReport) {
-    loop.execute(() -> trafficReport = newReport);
+    trafficReport = newReport;
   }
 
   /** Handles the operator's records: the configuration and roll-out orders. */
@@ -342,14 +343,14 @@
                 .filter(p -> p.digest().getReady())
                 .allMatch(p -> settings.instance().compareTo(p.digest().getInstance()) < 0);
     rollouts.syncStatus(leader, now);
-    dataPlane.setSendsTrials(leader);
     publishServers();
     publishVersionRules();
     List<EdgeDigest> ready =
         live.stream().map(PeerDirectory.Peer::digest).filter(EdgeDigest::getReady).toList();
-    dataPlane.setPeers(ready, 1 + live.size(), Map.copyOf(receivedLoads));
+    dataPlane.onControlReport(
+        new ControlReport(
+            ready, 1 + live.size(), receivedLoads, leader, operatorRecords.status().confirmedAt()));
     receivedLoads.clear();
-    dataPlane.setCatalogConfirmedAt(operatorRecords.status().confirmedAt());
     staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
     staleness.check(
         catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlReport.java
@@ -0,0 +1,29 @@
+package org.kumquatplank.edge;
+
+import java.util.List;
+import java.util.Map;
+import org.kumquatplank.core.dispatch.PeerLoad;
+import org.kumquatplank.link.proto.EdgeDigest;
+
+/**
+ * The state that the control plane reports to the data plane, a few times a second.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param readyPeers last digests of the peers that accept requests
+ * @param liveInstances number of live instances including this one
+ * @param loads in-flight load of the peers that reported it since the last report, by instance
+ * @param sendsTrials whether this instance is the one that sends trials of blocked segments
+ * @param catalogConfirmedAt when the configuration was last confirmed, microseconds
+ */
+record ControlReport(
+    List<EdgeDigest> readyPeers,
+    int liveInstances,
+    Map<String, List<PeerLoad>> loads,
+    boolean sendsTrials,
+    long catalogConfirmedAt) {
+  ControlReport {
+    readyPeers = List.copyOf(readyPeers);
+    loads = Map.copyOf(loads);
+  }
+}
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -19,7 +19,6 @@
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.CrashEvidence;
-import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.platform.wire.DiscoveryProtocol;
@@ -158,19 +157,10 @@
     loop.execute(() -> dispatcher.catalog().set(catalog));
   }
 
-  void setCatalogConfirmedAt(long at) {
-    loop.execute(() -> dispatcher.catalog().setConfirmedAt(at));
-  }
-
   void setServers(List<BackendServer> servers) {
     loop.execute(() -> dispatcher.setServers(servers));
   }
 
-  /** Sets whether this instance is the one that sends trials of blocked segments. */
-  void setSendsTrials(boolean sends) {
-    loop.execute(() -> dispatcher.crashDetector().setSendsTrials(sends));
-  }
-
   /** Merges what a peer knows of crashes of backend servers. */
   void mergeCrashEvidence(CrashEvidence evidence) {
     loop.execute(() -> dispatcher.crashDetector().merge(evidence));
@@ -180,32 +170,31 @@
     loop.execute(() -> dispatcher.setVersionRules(rules));
   }
 
-  /**
-   * Sets the peers that accept requests, and the number of live instances including this one.
-   *
-   * @param loads in-flight load of those that reported it, by instance
-   */
-  void setPeers(List<EdgeDigest> ready, int live, Map<String, List<PeerLoad>> loads) {
+  /** Takes over what the control plane knows, in one task so that this thread wakes up once. */
+  void onControlReport(ControlReport report) {
+    loop.execute(
+        () -> {
+          addresses.set(readyInstances(report.readyPeers()));
+          dispatcher.setLiveInstances(report.liveInstances());
+          report.loads().forEach(dispatcher::setPeerLoads);
+          dispatcher.crashDetector().setSendsTrials(report.sendsTrials());
+          dispatcher.catalog().setConfirmedAt(report.catalogConfirmedAt());
+        });
+  }
+
+  private List<EntryAddresses.Instance> readyInstances(List<EdgeDigest> readyPeers) {
     List<EntryAddresses.Instance> list = new ArrayList<>();
-    for (EdgeDigest peer : ready) {
+    for (EdgeDigest peer : readyPeers) {
       list.add(
           new EntryAddresses.Instance(peer.getFrontAddress(), peer.getZone(), peer.getRegion()));
     }
-    loop.execute(
-        () -> {
-          if (dispatcher.isReady() && drainingSince < 0) {
-            list.add(
-                new EntryAddresses.Instance(
-                    settings.callerAddress().getHostString()
-                        + ":"
-                        + settings.callerAddress().getPort(),
-                    settings.zone(),
-                    settings.region()));
-          }
-          addresses.set(list);
-          dispatcher.setLiveInstances(live);
-          loads.forEach(dispatcher::setPeerLoads);
-        });
+    if (dispatcher.isReady() && drainingSince < 0) {
+      InetSocketAddress own = settings.callerAddress();
+      list.add(
+          new EntryAddresses.Instance(
+              own.getHostString() + ":" + own.getPort(), settings.zone(), settings.region()));
+    }
+    return list;
   }
 
   private TrafficReport report() {
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -117,6 +117,11 @@
     }
   }
 
+  /** Returns whether the change at that offset needs no further handling here. */
+  boolean hasApplied(long offset) {
+    return offset < cursor.nextOffset() && !cursor.isListing();
+  }
+
   /** Returns the peer that reads the topic for this instance, if any. */
   Optional<String> reader() {
     return election.reader(Clock.micros());
--- a/edge/src/main/java/org/kumquatplank/edge/TopicUpdates.java
+++ b/edge/src/main/java/org/kumquatplank/edge/TopicUpdates.java
@@ -75,6 +75,7 @@
     }
     List<StoreRecord> records =
         message.getRecordsList().stream()
+            .filter(r -> !follower.hasApplied(r.getOffset()))
             .map(r -> new StoreRecord(r.getOffset(), r.getKey(), value(r)))
             .toList();
     TopicUpdate<StoreRecord> update =
--- a/edge/src/main/java/org/kumquatplank/edge/VersionCounts.java
+++ b/edge/src/main/java/org/kumquatplank/edge/VersionCounts.java
@@ -83,6 +83,9 @@
       Collection<BackendState> backends, Collection<Exchange> exchanges, long now) {
     Map<Key, VersionStats> result = new HashMap<>(counts);
     for (BackendState state : backends) {
+      if (state.inFlightRequests() == 0) {
+        continue;
+      }
       VersionStats inFlight = VersionStats.of(0, 0, 0, state.inFlightRequests());
       result.merge(keyOf(state.server()), inFlight, VersionStats::plus);
     }
