Need five slow responses for a rollback

At 95 instances each judges by the part of the evidence that it has heard, and the first rolls back for all: with three of few responses a good version would be withdrawn by chance.

--- a/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
@@ -60,8 +60,11 @@
   /** Tolerated multiple of the time per unit of output of the other versions. */
   private static final double MAX_PACE_FACTOR = 3;
 
-  /** Slow responses needed for a rollback; fewer may be chance. */
-  private static final int MIN_SLOW = 3;
+  /**
+   * Slow responses needed for a rollback. Many instances judge by different parts of the evidence,
+   * and any of them rolls back for all, so that a few may be chance.
+   */
+  private static final int MIN_SLOW = 5;
 
   /** Ratio of slow responses of the new version that does not cause a rollback in any case. */
   private static final double MAX_SLOW_RATIO = 0.25;
