Drop the block with the earliest crash to make room for a new one

Instances keep the same blocks, by the time of the last crash; a segment that is still asked for is tried and crashes again.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/SegmentCrashTracker.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/SegmentCrashTracker.java
@@ -137,8 +137,22 @@
   private void mergeBlock(BlockedSegment block) {
     if (respondedAt(block.id()) > block.crashedAt()) {
       unblocked.add(block.id());
-    } else if (blocks.size() < MAX_BLOCKS || blocks.containsKey(block.id())) {
+    } else {
       blocks.merge(block.id(), block, BlockedSegment::merge);
+      dropEarliestBlocks();
+    }
+  }
+
+  /**
+   * Keeps the blocks with the latest crashes. Segments that are still asked for are tried from time
+   * to time, and crash again, so the others are dropped; all instances keep the same ones.
+   */
+  private void dropEarliestBlocks() {
+    while (blocks.size() > MAX_BLOCKS) {
+      blocks.values().stream()
+          .min(
+              Comparator.comparingLong(BlockedSegment::crashedAt).thenComparing(BlockedSegment::id))
+          .ifPresent(earliest -> blocks.remove(earliest.id()));
     }
   }
 
--- a/core/src/test/java/org/kumquatplank/core/dispatch/SegmentCrashTrackerTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/SegmentCrashTrackerTest.java
@@ -50,6 +50,37 @@
     assertThat(blocked(request("s4", "a", "good"), 4 * SECOND)).isEmpty();
   }
 
+  /** Merges blocks of segments that nobody asks for any more, as many as are kept. */
+  private void blockUnusedSegments() {
+    List<BlockedSegment> blocks = new ArrayList<>();
+    for (int i = 0; i < 64; i++) {
+      blocks.add(new BlockedSegment("unused-" + i, i, 0, 60 * SECOND));
+    }
+    tracker.merge(new CrashEvidence(List.of(), blocks, List.of()), SECOND);
+  }
+
+  // A further segment that crashed servers was not blocked while 64 others were.
+  @Example
+  void testBlockWithTheEarliestCrashMakesRoomForANewOne() {
+    blockUnusedSegments();
+    crashThreeTimes();
+    assertThat(blocked(request("r4", "a", "bad"), 4 * SECOND)).hasValue("bad");
+    assertThat(tracker.blocks()).hasSize(64);
+    assertThat(blocked(request("u", "unused-0"), 4 * SECOND)).isEmpty();
+    assertThat(blocked(request("u", "unused-1"), 4 * SECOND)).hasValue("unused-1");
+  }
+
+  // A peer that still has the old block must not push out the new one.
+  @Example
+  void testOlderBlockOfAPeerDoesNotReplaceALaterOne() {
+    blockUnusedSegments();
+    crashThreeTimes();
+    assertThat(blocked(request("r4", "a", "bad"), 4 * SECOND)).hasValue("bad");
+    blockUnusedSegments();
+    assertThat(blocked(request("r5", "a", "bad"), 4 * SECOND)).hasValue("bad");
+    assertThat(blocked(request("u", "unused-0"), 4 * SECOND)).isEmpty();
+  }
+
   @Example
   void testLastSegmentOfAPromptIsNeverASuspect() {
     for (int i = 0; i < 6; i++) {
