--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -16,6 +17,8 @@
 import net.jqwik.api.Example;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
+import org.kumquatplank.link.proto.RelayedRecord;
+import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreClient;
 import org.kumquatplank.platform.store.StoreRecord;
 import org.kumquatplank.testkit.fleet.FakeStore;
@@ -136,6 +139,35 @@
     }
   }
 
+  /**
+   * Each relay repeats the changes of the last seconds. Those that were applied are not decoded
+   * again, which would be most of the work of an instance without requests.
+   */
+  @Example
+  void testRepeatedChangesOfRelayAreNotDecoded() throws IOException {
+    try (Fixture f = new Fixture()) {
+      f.receive("a", 0, 1, record(0, "k", "1"));
+      TopicRelay relay =
+          TopicRelay.newBuilder()
+              .setSender("a")
+              .setTopic("t")
+              .setFrom(0)
+              .setNext(2)
+              .addRecords(relayed(0, "k", ByteString.copyFromUtf8("not compressed")))
+              .addRecords(
+                  relayed(1, "m", ValueCompression.compress("2".getBytes(StandardCharsets.UTF_8))))
+              .build();
+      f.loop
+          .submit(() -> TopicUpdates.deliverTo(relay, Clock.micros(), f.follower, until -> {}))
+          .syncUninterruptibly();
+      assertThat(f.listener.changes).containsExactly("k=1", "m=2");
+    }
+  }
+
+  private static RelayedRecord relayed(long offset, String key, ByteString value) {
+    return RelayedRecord.newBuilder().setOffset(offset).setKey(key).setValue(value).build();
+  }
+
   @Example
   void testUpdateAfterAGapIsReadFromTheStore() throws IOException {
     try (Fixture f = new Fixture()) {
