--- a/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
@@ -214,7 +214,7 @@
     }
   }
 
-  /** Takes the steps that a peer has taken, unless the version is rolled back. */
+  /** Takes the steps that a peer has taken; a rollback stays in force. */
   public void catchUp(int peerStep, long now) {
     if (peerStep > step) {
       step = Math.min(peerStep, STEPS.size() - 1);
