--- a/review/1/RevokedKeys.java
+++ b/review/1/RevokedKeys.java
@@ -1,6 +1,5 @@
 package review;
 
-import java.io.IOException;
 import java.util.List;
 
 /** The operator takes the last keys away; a request with a key of no config must not run. */
@@ -15,7 +14,7 @@
 
   private RevokedKeys() {}
 
-  public static void main(String[] arguments) throws IOException {
+  public static void main(String[] arguments) {
     Case.run(arguments, RevokedKeys::run);
   }
 
--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -23,28 +23,43 @@
     boolean run(Context context) throws Exception;
   }
 
-  static void run(String[] arguments, Steps steps) throws IOException {
+  /** Runs the steps, and exits with the status that tells the result. */
+  static void run(String[] arguments, Steps steps) {
+    int status;
+    try {
+      status = runInFolder(arguments, steps);
+    } catch (IOException e) {
+      System.err.println("could not run: " + e);
+      status = COULD_NOT_RUN;
+    }
+    System.exit(status);
+  }
+
+  private static int runInFolder(String[] arguments, Steps steps) throws IOException {
     Path repository = Path.of(arguments[0]);
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Path folder = Files.createTempDirectory("review");
-    int status;
     try (CaseRecord record = new CaseRecord(Path.of(arguments[1]).resolve("record.txt"))) {
       record.line(trouble ? "with the disruption" : "without the disruption");
       try {
         boolean broken = steps.run(new Context(repository, folder, record, trouble));
         record.line(broken ? "the rule was broken" : "the rule held");
-        status = broken ? BROKEN : HELD;
-      } catch (Exception e) {
+        return broken ? BROKEN : HELD;
+      } catch (Exception | LinkageError e) {
         record.line("could not run: %s", e);
-        status = COULD_NOT_RUN;
+        return COULD_NOT_RUN;
       }
+    } finally {
+      delete(folder);
     }
+  }
+
+  private static void delete(Path folder) throws IOException {
     try (Stream<Path> files = Files.walk(folder)) {
       List<Path> deepestFirst = files.sorted(Comparator.reverseOrder()).toList();
       for (Path file : deepestFirst) {
-        Files.delete(file);
+        Files.deleteIfExists(file);
       }
     }
-    System.exit(status);
   }
 }
--- a/review/standins/Entry.java
+++ b/review/standins/Entry.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -113,7 +114,7 @@
     String text = Files.readString(settings);
     Path next = settings.resolveSibling("next.json");
     Files.writeString(next, text.replace(from, to));
-    Files.move(next, settings, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    Files.move(next, settings, StandardCopyOption.ATOMIC_MOVE);
   }
 
   String front() {
@@ -133,6 +134,11 @@
     return Http.call(ready, request, 0).status() == 200;
   }
 
+  /** Sends SIGHUP, which says that the settings have changed. */
+  void hangUp() throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+  }
+
   /** Sends SIGTERM, and SIGKILL after the grace period. */
   void stop(long graceMillis) {
     process.destroy();
@@ -150,8 +156,7 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
-    process.destroyForcibly();
-    process.waitFor();
+  public void close() {
+    process.destroyForcibly().onExit().join();
   }
 }
--- a/review/standins/LogStore.java
+++ b/review/standins/LogStore.java
@@ -20,20 +20,29 @@
 
 /** Stand-in for the platform's store: the keyed topics of its log, with one partition each. */
 final class LogStore implements AutoCloseable {
-  private final HttpServer server;
+  private HttpServer server;
   private final Map<String, List<byte[]>> topics = new HashMap<>();
 
-  private LogStore(HttpServer server) {
-    this.server = server;
-  }
+  private LogStore() {}
 
   static LogStore open() throws IOException {
-    HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-    LogStore store = new LogStore(server);
-    server.createContext("/", store::handle);
+    LogStore store = new LogStore();
+    store.listen();
+    return store;
+  }
+
+  private void listen() throws IOException {
+    server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    server.createContext("/", this::handle);
     server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
     server.start();
-    return store;
+  }
+
+  /** Moves to another address, with all records; nothing listens on the address before. */
+  void move() throws IOException {
+    HttpServer before = server;
+    listen();
+    before.stop(0);
   }
 
   String address() {
