--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review
 mkdir -p target/review
-"$(bin/jdk)/bin/javac" -Xlint:all -d target/review review/standins/*.java review/[1-5]/*.java
+find review -name '*.java' -print0 | xargs -0 "$(bin/jdk)/bin/javac" -Xlint:all -d target/review
--- a/review/standins/LogStore.java
+++ b/review/standins/LogStore.java
@@ -58,6 +58,18 @@
         ByteBuffer.allocate(1 + k.length + v.length).put((byte) k.length).put(k).put(v).array());
   }
 
+  /** Returns the newest value of a key, or an empty text. */
+  synchronized String newestValue(String topic, String key) {
+    String value = "";
+    for (byte[] r : topic("keyed." + topic)) {
+      int start = 1 + r[0];
+      if (new String(r, 1, r[0], StandardCharsets.UTF_8).equals(key)) {
+        value = new String(r, start, r.length - start, StandardCharsets.UTF_8);
+      }
+    }
+    return value;
+  }
+
   private List<byte[]> topic(String name) {
     return topics.computeIfAbsent(name, n -> new ArrayList<>());
   }
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -25,7 +25,9 @@
 
   private final String id;
   private final String service;
+  private final String version;
   private final int slots;
+  private final LogStore store;
   private final ServerSocket listener;
   private final Function<Run, Work> behaviour;
   private final List<Run> runs = new CopyOnWriteArrayList<>();
@@ -57,9 +59,17 @@
   }
 
   private Replica(
-      String id, String service, int slots, ServerSocket listener, Function<Run, Work> behaviour) {
+      LogStore store,
+      String id,
+      String service,
+      String version,
+      int slots,
+      ServerSocket listener,
+      Function<Run, Work> behaviour) {
+    this.store = store;
     this.id = id;
     this.service = service;
+    this.version = version;
     this.slots = slots;
     this.listener = listener;
     this.behaviour = behaviour;
@@ -68,11 +78,22 @@
   static Replica open(
       LogStore store, String id, String service, int slots, Function<Run, Work> behaviour)
       throws IOException {
+    return open(store, id, service, "v1", slots, behaviour);
+  }
+
+  static Replica open(
+      LogStore store,
+      String id,
+      String service,
+      String version,
+      int slots,
+      Function<Run, Work> behaviour)
+      throws IOException {
     ServerSocket listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-    Replica replica = new Replica(id, service, slots, listener, behaviour);
+    Replica replica = new Replica(store, id, service, version, slots, listener, behaviour);
     Thread.ofVirtual().start(replica::accept);
-    replica.checkIn(store, 0);
-    Thread.ofVirtual().start(() -> replica.checkInRepeatedly(store));
+    replica.checkIn(0);
+    Thread.ofVirtual().start(replica::checkInRepeatedly);
     return replica;
   }
 
@@ -85,24 +106,28 @@
     return runs.stream().anyMatch(run -> run.attempt().equals(attempt));
   }
 
-  private void checkIn(LogStore store, int sequence) {
+  private void checkIn(int sequence) {
     String entry =
         """
-        {"service":"%s","address":"127.0.0.1:%d","zone":"seoul-a","version":"v1","slots":%d,\
+        {"service":"%s","address":"127.0.0.1:%d","zone":"seoul-a","version":"%s","slots":%d,\
         "state":"ready","cold_remaining_ms":0,"sequence":%d,"born":%d}\
         """;
     store.put(
-        "servers", id, entry.formatted(service, listener.getLocalPort(), slots, sequence, born));
+        "servers",
+        id,
+        entry.formatted(service, listener.getLocalPort(), version, slots, sequence, born));
   }
 
-  private void checkInRepeatedly(LogStore store) {
+  private void checkInRepeatedly() {
     for (int i = 1; !closed; i++) {
       try {
         Thread.sleep(CHECK_IN_MILLIS);
       } catch (InterruptedException e) {
         return;
       }
-      checkIn(store, i);
+      if (!closed) {
+        checkIn(i);
+      }
     }
   }
 
@@ -189,6 +214,21 @@
     return new Run(line, headers, length);
   }
 
+  /** Ends for good: its channels break, and its entry goes after three check-ins of silence. */
+  void crash() throws IOException {
+    close();
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                Thread.sleep(3 * CHECK_IN_MILLIS);
+                store.put("servers", id, "");
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+  }
+
   @Override
   public void close() throws IOException {
     closed = true;
