Complete a roll-out only on evidence, and record its outcome in turn

Cause: an instance that knew of fewer than six requests took all steps without proof after 0.7 of the time; it took itself for the first instance before it had heard of a peer; and only the first instance recorded an outcome, so the withdrawal stayed unrecorded while the store rejected that one.

Ruled out: the conditional write, as nobody else wrote.

--- a/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
+++ b/core/src/main/java/org/kumquatplank/core/rollout/RolloutStateMachine.java
@@ -35,10 +35,22 @@
 
   /**
    * Progress from which a version that got fewer requests than a proof takes may advance without
-   * one: there is so little traffic that even all of it stays within the allowed exposure.
+   * one, if the traffic of the service is known to be that low.
    */
   private static final double UNPROVEN_PROGRESS = 0.70;
 
+  /** Share of the duration for which traffic must be observed to be known as low. */
+  private static final double MIN_OBSERVED_PROGRESS = 0.25;
+
+  /** Time from a send until its result is known to most instances, microseconds. */
+  private static final double EVIDENCE_DELAY_MICROS = 2_000_000;
+
+  /**
+   * Number of expected requests from which a version that has no proof did not get its share: with
+   * a Poisson distribution fewer than half of them are rare.
+   */
+  private static final double MIN_EXPECTED_REQUESTS = 12;
+
   /** Progress from which the rollout may complete if the old version has no in-flight requests. */
   private static final double MIN_COMPLETION_PROGRESS = 0.70;
 
@@ -87,6 +99,7 @@
   private static final double MAX_PROVEN_SLOW_FACTOR = 1.5;
 
   private final RolloutOrder order;
+  private final long observedSince;
   private final Map<String, VersionStats> targetBySource = new HashMap<>();
   private final Map<String, VersionStats> othersBySource = new HashMap<>();
   private long startedAt;
@@ -94,6 +107,8 @@
   private boolean completed;
   private int step;
   private double lastStepProgress;
+  private long lastStepAt;
+  private double sessionShareMicros;
 
   /**
    * A share of the requests that goes to the new version from a given progress on.
@@ -109,12 +124,15 @@
   private RolloutStateMachine(RolloutOrder order, long startedAt) {
     this.order = order;
     this.startedAt = startedAt;
+    this.observedSince = startedAt;
+    this.lastStepAt = startedAt;
   }
 
   /**
    * Returns the state machine for an order.
    *
-   * @param startedAt time at which the order was given, microseconds
+   * @param startedAt time from which this instance observes the rollout, microseconds; the start of
+   *     the rollout unless {@link #extendElapsed} moves that back
    */
   public static RolloutStateMachine create(RolloutOrder order, long startedAt) {
     return new RolloutStateMachine(order, startedAt);
@@ -192,33 +210,64 @@
   }
 
   /** Returns whether a step may be taken that needs proof. */
-  private boolean mayTakeProvenStep(double progress) {
+  private boolean mayTakeProvenStep(Step next, long now) {
+    double progress = progress(now);
     VersionStats target = sum(targetBySource);
     if (target.requestCount() < MIN_PACE_SAMPLES) {
-      return progress >= UNPROVEN_PROGRESS;
+      return progress >= UNPROVEN_PROGRESS
+          && isTrafficLow(now)
+          && requestsPerMicro(now) * next.share() * EVIDENCE_DELAY_MICROS < MIN_PACE_SAMPLES;
     }
     return target.succeeded() >= MIN_PACE_SAMPLES
         && target.isSlowAtMost(MAX_PROVEN_SLOW_RATIO, MAX_PROVEN_SLOW_FACTOR, sum(othersBySource))
         && progress >= lastStepProgress + MIN_STEP_PROGRESS;
   }
 
-  private void takeSteps(double progress) {
+  /**
+   * Returns whether the new version got fewer requests than a proof takes because few reach the
+   * service, and not because this instance has seen little or the version has no servers.
+   */
+  private boolean isTrafficLow(long now) {
+    return now - observedSince >= MIN_OBSERVED_PROGRESS * durationMicros()
+        && requestsPerMicro(now) * sessionShareMicros(now) < MIN_EXPECTED_REQUESTS;
+  }
+
+  /** Returns the rate at which requests reach the service, as far as it is observed. */
+  private double requestsPerMicro(long now) {
+    int requests = sum(targetBySource).requestCount() + sum(othersBySource).requestCount();
+    return requests / (double) Math.max(1, now - observedSince);
+  }
+
+  /** Returns the observed time in which sessions could move, weighted by the share that did. */
+  private double sessionShareMicros(long now) {
+    Step current = STEPS.get(step);
+    return sessionShareMicros
+        + (current.includesSessions() ? current.share() * (now - lastStepAt) : 0);
+  }
+
+  private void takeSteps(long now) {
+    double progress = progress(now);
     while (step + 1 < STEPS.size()) {
       Step next = STEPS.get(step + 1);
       boolean due = progress >= next.fromProgress();
-      if (!due || (next.needsProof() && !mayTakeProvenStep(progress))) {
+      if (!due || (next.needsProof() && !mayTakeProvenStep(next, now))) {
         return;
       }
-      step++;
-      lastStepProgress = progress;
+      setStep(step + 1, now);
     }
   }
 
+  private void setStep(int newStep, long now) {
+    sessionShareMicros = sessionShareMicros(now);
+    step = newStep;
+    lastStepProgress = progress(now);
+    lastStepAt = now;
+  }
+
   /** Takes the steps that a peer has taken; a rollback stays in force. */
   public void catchUp(int peerStep, long now) {
     if (peerStep > step) {
-      step = Math.min(peerStep, STEPS.size() - 1);
-      lastStepProgress = progress(now);
+      setStep(Math.min(peerStep, STEPS.size() - 1), now);
     }
   }
 
@@ -246,7 +295,11 @@
   }
 
   private double progress(long now) {
-    return (now - startedAt) / (1_000.0 * Math.max(1, order.durationMillis()));
+    return (now - startedAt) / durationMicros();
+  }
+
+  private double durationMicros() {
+    return 1_000.0 * Math.max(1, order.durationMillis());
   }
 
   /** Returns the rule for the versions that may get requests now. */
@@ -254,7 +307,7 @@
     if (rolledBack) {
       return new VersionRule.Except(order.targetVersion());
     }
-    takeSteps(progress(now));
+    takeSteps(now);
     if (completed || hasTakenAllSteps()) {
       return new VersionRule.Only(order.targetVersion());
     }
@@ -271,10 +324,21 @@
     if (rolledBack) {
       return Phase.WITHDRAWN;
     }
+    takeSteps(now);
     double progress = progress(now);
-    takeSteps(progress);
     boolean idle = progress >= MIN_COMPLETION_PROGRESS && sum(othersBySource).inFlight() == 0;
     boolean timeIsUp = progress >= MAX_COMPLETION_PROGRESS;
-    return hasTakenAllSteps() && (idle || timeIsUp) ? Phase.MAY_COMPLETE : Phase.RUNNING;
+    boolean ended = hasTakenAllSteps() && (idle || timeIsUp);
+    return ended && isProven(now) ? Phase.MAY_COMPLETE : Phase.RUNNING;
+  }
+
+  /** Returns whether the new version has complete responses, or gets hardly any requests. */
+  private boolean isProven(long now) {
+    if (sum(targetBySource).succeeded() >= MIN_PACE_SAMPLES) {
+      return true;
+    }
+    boolean evidenceIsDue = now - lastStepAt >= EVIDENCE_DELAY_MICROS;
+    boolean hasHardlyTraffic = requestsPerMicro(now) * EVIDENCE_DELAY_MICROS < 1;
+    return isTrafficLow(now) && (evidenceIsDue || hasHardlyTraffic);
   }
 }
--- a/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
+++ b/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
@@ -185,6 +185,33 @@
     assertThat(machine.phase(23 * SECOND)).isEqualTo(Phase.RUNNING);
   }
 
+  /** Guards against an instance that starts late and takes its own ignorance for low traffic. */
+  @Example
+  void testInstanceThatObservesNothingYetTakesNoStep() {
+    RolloutStateMachine late = RolloutStateMachine.create(ORDER, 19 * SECOND);
+    late.extendElapsed(17 * SECOND, 19 * SECOND);
+    assertThat(late.rule(19 * SECOND)).isEqualTo(new VersionRule.Trial("v2", 0.06, true));
+    assertThat(late.phase(21 * SECOND)).isEqualTo(Phase.RUNNING);
+  }
+
+  /** Guards against the completion of a version whose servers are gone. */
+  @Example
+  void testVersionThatGetsNoRequestsWhileOthersGetManyIsNotCompleted() {
+    for (long now = 0; now <= 40 * SECOND; now += SECOND / 10) {
+      machine.updateStats("own", VersionStats.NONE, VersionStats.of((int) (now / 50_000), 0, 9, 0));
+      assertThat(machine.phase(now)).isEqualTo(Phase.RUNNING);
+    }
+  }
+
+  @Example
+  void testVersionOfAServiceWithoutTrafficIsCompleted() {
+    for (long now = 0; now <= 21 * SECOND; now += SECOND / 10) {
+      machine.updateStats("own", VersionStats.NONE, VersionStats.NONE);
+      machine.rule(now);
+    }
+    assertThat(machine.phase(21 * SECOND)).isEqualTo(Phase.MAY_COMPLETE);
+  }
+
   @Example
   void testStepOfPeerIsTakenAndTheNextOneWaits() {
     VersionStats others = new VersionStats(480, 0, 22_000, 110, 23, 6);
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -12,6 +12,7 @@
 import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.membership.Succession;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.EdgeDigest;
@@ -70,6 +71,7 @@
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
   private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
+  private final long startedAt = Clock.micros();
   private boolean draining;
 
   ControlPlane(EdgeSettings settings, long startedMillis, EventLoop loop, DataPlane dataPlane) {
@@ -337,19 +339,24 @@
     long now = Clock.micros();
     rollouts.onEvidence(trafficReport.evidence());
     List<PeerDirectory.Peer> live = directory.live(now);
-    boolean leader =
-        !draining
-            && live.stream()
-                .filter(p -> p.digest().getReady())
-                .allMatch(p -> settings.instance().compareTo(p.digest().getInstance()) < 0);
-    rollouts.syncStatus(leader, now);
-    publishServers();
-    publishVersionRules();
     List<EdgeDigest> ready =
         live.stream().map(PeerDirectory.Peer::digest).filter(EdgeDigest::getReady).toList();
+    Succession succession =
+        Succession.of(
+            settings.instance(), ready.stream().map(EdgeDigest::getInstance).toList(), startedAt);
+    if (!draining) {
+      rollouts.syncStatus(succession, now);
+    }
+    publishServers();
+    publishVersionRules();
+    boolean sendsTrials = !draining && succession.isFirst(now);
     dataPlane.onControlReport(
         new ControlReport(
-            ready, 1 + live.size(), receivedLoads, leader, operatorRecords.status().confirmedAt()));
+            ready,
+            1 + live.size(),
+            receivedLoads,
+            sendsTrials,
+            operatorRecords.status().confirmedAt()));
     receivedLoads.clear();
     staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
     staleness.check(
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -11,6 +11,7 @@
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.RolloutOrder;
 import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.membership.Succession;
 import org.kumquatplank.core.rollout.RolloutStateMachine;
 import org.kumquatplank.core.rollout.VersionStats;
 import org.kumquatplank.link.proto.EdgeDigest;
@@ -23,21 +24,25 @@
 /**
  * Tracks the roll-outs that the operator ordered and records their status in the store.
  *
- * <p>Every instance tracks all of them. The leader, which is the live instance with the lowest
- * name, writes their status with a conditional write, so that two leaders can't overwrite each
- * other. Confined to the control thread.
+ * <p>Every instance tracks all of them. The first of the live instances writes their status; if it
+ * does not, the next ones record the outcome. Writes are conditional, so that two instances can't
+ * overwrite each other. Confined to the control thread.
  */
 final class RolloutManager {
   private static final String STATUS_TOPIC = "status";
   private static final String OWN_SOURCE = "own";
   private static final long STATUS_SYNC_INTERVAL_MICROS = 400_000;
 
+  /** Time for which digests name a completed roll-out, so that all peers learn of it. */
+  private static final long COMPLETION_DIGEST_MICROS = 5_000_000;
+
   private final StoreClient store;
   private final Map<String, RolloutStateMachine> machines = new HashMap<>();
   private final Map<Long, Map<VersionCounts.Key, VersionStats>> baselines = new HashMap<>();
   private final Map<String, Set<String>> knownVersions = new HashMap<>();
   private final Map<Long, RolloutStatus.State> recordedStates = new HashMap<>();
   private final Map<Long, Long> startedMillis = new HashMap<>();
+  private final Map<Long, Long> outcomeSince = new HashMap<>();
   private final Map<Long, Progress> loggedProgress = new HashMap<>();
   private Map<VersionCounts.Key, VersionStats> evidence = Map.of();
   private List<BackendServer> servers = List.of();
@@ -105,7 +110,8 @@
   void addTo(EdgeDigest.Builder digest, long now) {
     for (RolloutStateMachine machine : machines.values()) {
       RolloutStateMachine.Phase phase = machine.phase(now);
-      if (phase == RolloutStateMachine.Phase.COMPLETED) {
+      boolean completed = phase == RolloutStateMachine.Phase.COMPLETED;
+      if (completed && now > outcomeSince(machine, now) + COMPLETION_DIGEST_MICROS) {
         continue;
       }
       digest.addRollouts(
@@ -115,6 +121,7 @@
               .setElapsedMillis(Math.max(0, machine.elapsedMicros(now) / 1_000))
               .setWithdrawn(phase == RolloutStateMachine.Phase.WITHDRAWN)
               .setStep(machine.step())
+              .setRecorded(hasRecordedOutcome(machine))
               .setTarget(encode(ownEvidence(machine, true)))
               .setRest(encode(ownEvidence(machine, false))));
     }
@@ -155,6 +162,13 @@
       if (rollout.getWithdrawn()) {
         machine.rollBack();
       }
+      if (rollout.getRecorded()) {
+        setRecorded(
+            machine,
+            rollout.getWithdrawn()
+                ? RolloutStatus.State.ROLLED_BACK
+                : RolloutStatus.State.COMPLETED);
+      }
     }
   }
 
@@ -203,13 +217,12 @@
     };
   }
 
-  /** Reads the recorded status of the roll-outs and, as the leader, writes changed ones. */
-  void syncStatus(boolean leader, long now) {
+  /** Reads the recorded status of the roll-outs and writes changed ones if it is the turn. */
+  void syncStatus(Succession succession, long now) {
     if (machines.isEmpty() || storeCallPending || now < nextSyncAt) {
       return;
     }
-    boolean due = !statusKnown || (leader && !unrecordedStatuses(now).isEmpty());
-    if (!due) {
+    if (statusKnown && unrecordedStatuses(succession, now).isEmpty()) {
       return;
     }
     storeCallPending = true;
@@ -225,9 +238,7 @@
                     .log();
               } else {
                 readStatus(page.records(), Clock.micros());
-                if (leader) {
-                  writeStatus(page.nextOffset(), Clock.micros());
-                }
+                writeStatus(page.nextOffset(), succession, Clock.micros());
               }
             });
   }
@@ -248,20 +259,40 @@
     if (status.orderOffset() != machine.order().offset()) {
       return;
     }
-    recordedStates.put(status.orderOffset(), status.state());
     startedMillis.put(status.orderOffset(), status.startedMillis());
-    switch (status.state()) {
-      case RUNNING ->
-          machine.extendElapsed(
-              1_000 * Math.max(0, System.currentTimeMillis() - status.startedMillis()), now);
+    setRecorded(machine, status.state());
+    if (status.state() == RolloutStatus.State.RUNNING) {
+      machine.extendElapsed(
+          1_000 * Math.max(0, System.currentTimeMillis() - status.startedMillis()), now);
+    }
+  }
+
+  /** Takes over the state that the store has, also where the evidence here says otherwise. */
+  private void setRecorded(RolloutStateMachine machine, RolloutStatus.State state) {
+    recordedStates.put(machine.order().offset(), state);
+    switch (state) {
+      case RUNNING -> {}
       case COMPLETED -> machine.markCompleted();
       case ROLLED_BACK -> machine.rollBack();
     }
   }
 
-  private List<RolloutStatus> unrecordedStatuses(long now) {
+  private boolean hasRecordedOutcome(RolloutStateMachine machine) {
+    RolloutStatus.State recorded = recordedStates.get(machine.order().offset());
+    return recorded != null && recorded != RolloutStatus.State.RUNNING;
+  }
+
+  /** Returns since when this instance has known the outcome, microseconds. */
+  private long outcomeSince(RolloutStateMachine machine, long now) {
+    return outcomeSince.computeIfAbsent(machine.order().offset(), offset -> now);
+  }
+
+  private List<RolloutStatus> unrecordedStatuses(Succession succession, long now) {
     List<RolloutStatus> result = new ArrayList<>();
     for (RolloutStateMachine machine : machines.values()) {
+      if (hasRecordedOutcome(machine)) {
+        continue;
+      }
       long number = machine.order().offset();
       RolloutStatus.State state =
           switch (machine.phase(now)) {
@@ -269,27 +300,24 @@
             case MAY_COMPLETE, COMPLETED -> RolloutStatus.State.COMPLETED;
             case WITHDRAWN -> RolloutStatus.State.ROLLED_BACK;
           };
-      RolloutStatus.State known = recordedStates.get(number);
-      boolean ended = known != null && known != RolloutStatus.State.RUNNING;
-      if (known != state && !ended) {
+      boolean isTurn =
+          state == RolloutStatus.State.RUNNING
+              ? succession.isFirst(now)
+              : succession.isTurn(outcomeSince(machine, now), now);
+      if (isTurn && recordedStates.get(number) != state) {
         result.add(RolloutStatus.of(machine.order(), state, startedMillis.get(number)));
       }
     }
     return result;
   }
 
-  private void writeStatus(long end, long now) {
-    Optional<RolloutStatus> first = unrecordedStatuses(now).stream().findFirst();
+  private void writeStatus(long end, Succession succession, long now) {
+    Optional<RolloutStatus> first = unrecordedStatuses(succession, now).stream().findFirst();
     if (first.isEmpty()) {
       return;
     }
     RolloutStatus status = first.get();
-    String service =
-        machines.values().stream()
-            .filter(m -> m.order().offset() == status.orderOffset())
-            .map(m -> m.order().service())
-            .findFirst()
-            .orElseThrow();
+    String service = machine(status).map(m -> m.order().service()).orElseThrow();
     storeCallPending = true;
     store
         .put(STATUS_TOPIC, RolloutStatus.key(service), status.encode(), OptionalLong.of(end))
@@ -302,14 +330,22 @@
                   .addKeyValue("written", failure == null)
                   .log();
               if (failure == null) {
-                recordedStates.put(status.orderOffset(), status.state());
-                if (status.state() == RolloutStatus.State.COMPLETED) {
-                  machines.get(service).markCompleted();
-                }
+                onWritten(status);
               } else {
                 // The write may have succeeded all the same: the next read shows it.
                 statusKnown = false;
               }
             });
   }
+
+  private void onWritten(RolloutStatus status) {
+    // A newer order may have replaced this one since the write began.
+    machine(status).ifPresent(m -> setRecorded(m, status.state()));
+  }
+
+  private Optional<RolloutStateMachine> machine(RolloutStatus status) {
+    return machines.values().stream()
+        .filter(m -> m.order().offset() == status.orderOffset())
+        .findFirst();
+  }
 }
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -162,13 +162,19 @@
 
   /** Returns the entry that this backend server writes to the store, as JSON. */
   public String entry(String service, String state) {
+    return entry(service, state, "v1");
+  }
+
+  /** Returns the entry of a backend server that runs the given software version. */
+  public String entry(String service, String state, String version) {
     String address = listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
     return String.format(
         Locale.ROOT,
-        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":4,"
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"version\":\"%s\",\"slots\":4,"
             + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1}",
         service,
         address,
+        version,
         state);
   }
 
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeStore.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeStore.java
@@ -90,6 +90,11 @@
     append(topic, encodeRecord(key, new byte[0]));
   }
 
+  /** Returns the offset of the next record of a topic. */
+  public synchronized long end(String topic) {
+    return topic(topic).records.size();
+  }
+
   /** Returns the newest value of a key, or an empty string if there is none. */
   public synchronized String newest(String topic, String key) {
     byte[] value = newestByKey(topic(topic)).get(key);
