Give each request a final answer before a stop ends the process

Callers whose requests waited for a place at a SIGTERM got no answer: the process exited 0.5 s before the end of its grace period with them in its queue. Requests in flight ended in the same way, and a large response to a caller that reads slowly was cut.

Cause: nothing ended the open exchanges at the exit, requests from the queue were sent for the first time until then, and the deadlines were constants that a shorter grace period doesn't cover.

DrainSchedule works the deadlines out from the grace period. After the last accepted request, nothing is sent for the first time; at the end, open requests get 503 or 502 by what is known of their sends, and the process waits until the responses are written.

--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -27,9 +27,6 @@
 final class AdmissionController {
   private static final long MICROS_PER_MILLI = 1_000;
 
-  /** Short, so that a caller retries at another instance at once while this one drains. */
-  private static final double DRAINING_RETRY_SECONDS = 0.02;
-
   private static final double NOT_READY_RETRY_SECONDS = 0.3;
 
   private final Dispatcher dispatcher;
@@ -70,6 +67,11 @@
     rejectNewAt = acceptUntil;
   }
 
+  /** Returns whether a response has not been written completely. */
+  boolean hasUnwrittenResponses() {
+    return connections.stream().anyMatch(CallerConnection::hasUnwrittenResponse);
+  }
+
   void closeIdle() {
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
@@ -99,7 +101,7 @@
       return Optional.empty();
     }
     if (now >= rejectNewAt) {
-      rejectNotRun(connection, head, DRAINING_RETRY_SECONDS, "this instance is leaving");
+      rejectNotRun(connection, head, RetryDelay.LEAVING_SECONDS, "this instance is leaving");
       return Optional.empty();
     }
     return admit(connection, head, body, catalog.get(), now);
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -63,6 +64,8 @@
   private long lastActivityAt = Clock.micros();
   private long requestStartedAt;
   private boolean requestStarted;
+  private Optional<ChannelFuture> lastWrite = Optional.empty();
+  private long unwrittenBytes;
 
   CallerConnection(AdmissionController admission, CallerLimits limits) {
     this.admission = admission;
@@ -95,14 +98,20 @@
   }
 
   boolean isBusy() {
-    return responsePending || requestStarted;
+    return responsePending || requestStarted || hasUnwrittenResponse();
+  }
+
+  /** Returns whether bytes of a response wait for the caller to read. */
+  boolean hasUnwrittenResponse() {
+    return lastWrite.isPresent() && !lastWrite.get().isDone();
   }
 
   /** Closes the connection if it is idle for too long or sends a request too slowly. */
   void sweep(long now) {
-    if (responsePending || closing) {
+    if (responsePending || (closing && !hasUnwrittenResponse())) {
       return;
     }
+    recordWriteProgress(now);
     if (requestStarted && request == null) {
       if (now - requestStartedAt > limits.headerTimeoutMillis() * MICROS_PER_MILLI) {
         reject(LocalResponse.SLOW_HEAD, "the head took too long");
@@ -117,6 +126,15 @@
     }
   }
 
+  /** A caller that reads a response slowly is not idle. */
+  private void recordWriteProgress(long now) {
+    long bytes = hasUnwrittenResponse() ? channel.bytesBeforeWritable() : 0;
+    if (bytes != unwrittenBytes) {
+      unwrittenBytes = bytes;
+      lastActivityAt = now;
+    }
+  }
+
   /** Closes the connection if no request is on it. */
   void closeIfIdle() {
     if (!isBusy()) {
@@ -268,8 +286,7 @@
   @Override
   public void respond(FullHttpResponse response) {
     setConnectionHeader(response.headers());
-    channel.writeAndFlush(response).addListener(closeListener());
-    onResponseEnded();
+    writeLast(response);
   }
 
   @Override
@@ -283,8 +300,7 @@
             content,
             headers,
             DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
-    channel.writeAndFlush(response).addListener(closeListener());
-    onResponseEnded();
+    writeLast(response);
   }
 
   @Override
@@ -303,7 +319,11 @@
 
   @Override
   public void endStream() {
-    channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(closeListener());
+    writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  private void writeLast(Object message) {
+    lastWrite = Optional.of(channel.writeAndFlush(message).addListener(closeListener()));
     onResponseEnded();
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -19,6 +19,7 @@
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.CrashEvidence;
+import org.kumquatplank.core.dispatch.DrainSchedule;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.platform.wire.DiscoveryProtocol;
@@ -35,18 +36,10 @@
   private static final long TICK_MILLIS = 50;
   private static final long REPORT_MILLIS = 250;
   private static final long SWEEP_MILLIS = 400;
+  private static final long DRAIN_CHECK_MILLIS = 50;
   private static final double ADDRESS_TTL_SECONDS = 2;
   private static final String JSON = "application/json";
 
-  /** How long a draining instance accepts requests of callers that still have its address. */
-  private static final long ACCEPT_WORK_MICROS = 3_000_000;
-
-  /** Time after which idle connections are closed; callers have fetched new addresses by then. */
-  private static final long CLOSE_IDLE_AFTER_MICROS = 3_500_000;
-
-  /** Margin before the end of the grace period, at which the process would be killed. */
-  private static final long EXIT_MARGIN_MICROS = 500_000;
-
   private final EdgeSettings settings;
   private final EventLoop loop;
   private final EdgeMetrics metrics = new EdgeMetrics();
@@ -56,7 +49,8 @@
   private final EntryAddresses addresses = new EntryAddresses();
   private final CountDownLatch drained = new CountDownLatch(1);
   private Consumer<TrafficReport> reportListener = report -> {};
-  private long drainingSince = -1;
+  private Optional<DrainSchedule> drain = Optional.empty();
+  private boolean requestsEnded;
 
   DataPlane(EdgeSettings settings, EventLoop loop) {
     this.settings = settings;
@@ -70,6 +64,11 @@
     return metrics;
   }
 
+  /** Returns the number of requests that are open; call it on the traffic thread. */
+  int openExchanges() {
+    return dispatcher.openExchanges();
+  }
+
   void start(Consumer<TrafficReport> listener) {
     reportListener = listener;
     listen(
@@ -132,7 +131,7 @@
   }
 
   private AuxiliaryServer.Response readiness(String uri) {
-    boolean ready = DiscoveryProtocol.isReadiness(uri) && dispatcher.isReady() && drainingSince < 0;
+    boolean ready = DiscoveryProtocol.isReadiness(uri) && dispatcher.isReady() && drain.isEmpty();
     return AuxiliaryServer.Response.status(ready ? 200 : 503);
   }
 
@@ -188,7 +187,7 @@
       list.add(
           new EntryAddresses.Instance(peer.getFrontAddress(), peer.getZone(), peer.getRegion()));
     }
-    if (dispatcher.isReady() && drainingSince < 0) {
+    if (dispatcher.isReady() && drain.isEmpty()) {
       InetSocketAddress own = settings.callerAddress();
       list.add(
           new EntryAddresses.Instance(
@@ -210,29 +209,11 @@
     pool.sweep(now);
     dispatcher.crashDetector().sweep();
     admission.sweep(now);
-    if (drainingSince >= 0) {
-      long drainingMicros = now - drainingSince;
-      if (drainingMicros >= CLOSE_IDLE_AFTER_MICROS) {
-        admission.closeIdle();
-      }
-      boolean drainComplete =
-          drainingMicros >= CLOSE_IDLE_AFTER_MICROS && dispatcher.openExchanges() == 0;
-      long maxDrainMicros = settings.limits().shutdownGraceMillis() * 1_000 - EXIT_MARGIN_MICROS;
-      if (drainComplete || drainingMicros >= maxDrainMicros) {
-        EdgeLog.event("left").addKeyValue("open", dispatcher.openExchanges()).log();
-        drained.countDown();
-      }
-    }
   }
 
-  /** Drains: rejects new requests after a while, and returns when all open ones are finished. */
+  /** Drains: rejects new requests after a while, and returns when all responses are written. */
   void drain() {
-    loop.execute(
-        () -> {
-          drainingSince = Clock.micros();
-          admission.drain(drainingSince + ACCEPT_WORK_MICROS);
-          EdgeLog.event("leaving").addKeyValue("open", dispatcher.openExchanges()).log();
-        });
+    loop.execute(this::startDrain);
     try {
       if (!drained.await(settings.limits().shutdownGraceMillis(), TimeUnit.MILLISECONDS)) {
         EdgeLog.event("left_late").log();
@@ -241,4 +222,30 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  private void startDrain() {
+    DrainSchedule schedule =
+        DrainSchedule.of(Clock.micros(), settings.limits().shutdownGraceMillis());
+    drain = Optional.of(schedule);
+    admission.drain(schedule.acceptUntil());
+    dispatcher.drain(schedule);
+    EdgeLog.event("leaving").addKeyValue("open", dispatcher.openExchanges()).log();
+    scheduleEvery(DRAIN_CHECK_MILLIS, () -> checkDrain(schedule, Clock.micros()));
+  }
+
+  private void checkDrain(DrainSchedule schedule, long now) {
+    if (now >= schedule.closeIdleAt()) {
+      admission.closeIdle();
+    }
+    if (now >= schedule.endRequestsAt() && !requestsEnded) {
+      requestsEnded = true;
+      EdgeLog.event("grace_over").addKeyValue("open", dispatcher.openExchanges()).log();
+      dispatcher.endAll();
+    }
+    boolean written = dispatcher.openExchanges() == 0 && !admission.hasUnwrittenResponses();
+    if ((now >= schedule.closeIdleAt() && written) || now >= schedule.exitAt()) {
+      EdgeLog.event("left").addKeyValue("open", dispatcher.openExchanges()).log();
+      drained.countDown();
+    }
+  }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
 import org.kumquatplank.core.dispatch.DispatchRequest;
+import org.kumquatplank.core.dispatch.DrainSchedule;
 import org.kumquatplank.core.dispatch.Locality;
 import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.PeerLoad;
@@ -38,6 +39,8 @@
   private static final long MICROS_PER_MILLI = 1_000;
   private static final double MICROS_PER_SECOND = 1_000_000;
 
+  private static final String LEAVING = "this instance is leaving";
+
   /** Confidence, 0 to 100, that a model states for its response; below it a larger one is used. */
   private static final int MIN_CONFIDENCE = 60;
 
@@ -61,6 +64,7 @@
   private Map<String, VersionRule> versionRules = Map.of();
   private boolean serversKnown;
   private int liveInstances = 1;
+  private Optional<DrainSchedule> drain = Optional.empty();
   private Runnable onFirstExchange = () -> {};
   private boolean ticking;
 
@@ -183,6 +187,10 @@
   /** Sends a request to the best backend server, queues it, or fails it if none may serve it. */
   void dispatch(Exchange exchange) {
     long now = Clock.micros();
+    if (isTooLateToStart(exchange, now)) {
+      rejectLeaving(exchange);
+      return;
+    }
     crashTracker.updateBlocks(now);
     Optional<BlockedSegment> block = crashTracker.blockOf(exchange.request());
     if (block.isPresent()) {
@@ -207,6 +215,31 @@
     metrics.count("waited");
   }
 
+  /** Starts to drain: no request is sent for the first time after the schedule allows it. */
+  void drain(DrainSchedule schedule) {
+    drain = Optional.of(schedule);
+  }
+
+  /** Ends all open requests, since the process is about to end. */
+  void endAll() {
+    List.copyOf(exchanges).forEach(e -> e.endUnfinished(LEAVING));
+  }
+
+  private boolean isTooLateToStart(Exchange exchange, long now) {
+    return drain.isPresent() && now >= drain.get().acceptUntil() && !exchange.mayHaveRun();
+  }
+
+  private void rejectLeaving(Exchange exchange) {
+    metrics.count("refused_leaving");
+    exchange.endWithError(LEAVING, false);
+  }
+
+  private void rejectQueuedLeaving(long now) {
+    List.copyOf(exchanges).stream()
+        .filter(e -> e.isQueued() && isTooLateToStart(e, now))
+        .forEach(this::rejectLeaving);
+  }
+
   private boolean trySendTrial(Exchange exchange, BlockedSegment block, long now) {
     boolean due = crashDetector.maySendTrial(block, exchange.request(), now);
     if (!due || !tryDispatch(exchange, now)) {
@@ -302,6 +335,7 @@
     }
     crashDetector.update(now);
     rejectQueuedBlocked();
+    rejectQueuedLeaving(now);
     dispatchQueued();
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.tick(now);
@@ -320,6 +354,9 @@
 
   /** Returns the delay after which a rejected caller should retry, seconds. */
   double retryAfterSeconds(Exchange exchange) {
+    if (drain.isPresent()) {
+      return RetryDelay.LEAVING_SECONDS;
+    }
     DispatchRequest request = exchange.request();
     return RetryDelay.seconds(
         request.deadlineMicros(), crashTracker.blockOf(request), Clock.micros());
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -340,10 +340,25 @@
   }
 
   private void onDeadline() {
+    cancelCall();
+    endWithError("the time is up", true);
+  }
+
+  /** Ends the exchange before its deadline, with what is known of its sends. */
+  void endUnfinished(String reason) {
+    cancelCall();
+    endWithError(reason, false);
+  }
+
+  private void cancelCall() {
     if (call != null) {
       call.cancel();
     }
-    endWithError("the time is up", true);
+  }
+
+  /** Returns whether a backend server may have run the request. */
+  boolean mayHaveRun() {
+    return sendTracker.mayHaveRun();
   }
 
   /** Ends the exchange with a kept error response or, without one, an error of this router. */
@@ -376,9 +391,7 @@
   /** Cancels the exchange after the caller has closed its connection. */
   void onCallerDisconnected() {
     if (!done) {
-      if (call != null) {
-        call.cancel();
-      }
+      cancelCall();
       finish("caller_gone");
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/RetryDelay.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RetryDelay.java
@@ -5,6 +5,9 @@
 
 /** Computes when a rejected caller should retry. Stateless and thread-safe. */
 final class RetryDelay {
+  /** Short, so that a caller retries at another instance at once while this one drains. */
+  static final double LEAVING_SECONDS = 0.02;
+
   private static final double MICROS_PER_SECOND = 1_000_000;
   private static final double BASE_SECONDS = 0.15;
 
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -43,7 +43,7 @@
   private final DataPlane dataPlane;
   private int version = 1;
 
-  private EdgeFixture() throws IOException {
+  private EdgeFixture(long graceMillis) throws IOException {
     store = FakeStore.open(HOST);
     settings =
         new EdgeSettings(
@@ -59,7 +59,7 @@
             freeAddress().getPort(),
             List.of(),
             store.address(),
-            new EdgeSettings.Limits(0.9, 50, 10_000, 8_000, 5, 3_000));
+            new EdgeSettings.Limits(0.9, 50, 10_000, graceMillis, 5, 3_000));
     dataPlane = new DataPlane(settings, trafficLoop);
   }
 
@@ -87,7 +87,13 @@
   /** Starts an instance and one backend server per script. */
   @SafeVarargs
   static EdgeFixture start(Function<Received, Behaviour>... scripts) throws IOException {
-    EdgeFixture fixture = new EdgeFixture();
+    return start(8_000, List.of(scripts));
+  }
+
+  /** Starts an instance with a grace period in milliseconds, and one backend server per script. */
+  static EdgeFixture start(long graceMillis, List<Function<Received, Behaviour>> scripts)
+      throws IOException {
+    EdgeFixture fixture = new EdgeFixture(graceMillis);
     fixture.putCatalog("\"key-1\"");
     for (Function<Received, Behaviour> script : scripts) {
       String id = "i-" + fixture.backends.size();
@@ -126,6 +132,15 @@
     return dataPlane;
   }
 
+  InetSocketAddress callerAddress() {
+    return settings.callerAddress();
+  }
+
+  /** Returns the number of requests that are open at the instance. */
+  int openExchanges() {
+    return trafficLoop.submit(dataPlane::openExchanges).syncUninterruptibly().getNow();
+  }
+
   /** Writes a new version of the configuration with these API keys. */
   void putCatalog(String keys) {
     String route =
