Keep a server in use that refuses a misdirected request under its own id

After one request with a model that its route doesn't have, all callers of the route got 503 until the backend servers restarted.

Cause: every 421 marked the server as replaced by another process. The wire has a second cause, a request that the server itself can't take; the id in the response tells them apart.

Ruled out: the list of servers, and suspicion after failures.

The caller of such a request gets the 421 of the server, which is as final as the cause, not a 503 with a time to come back.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -63,13 +63,32 @@
     return removed || server.draining();
   }
 
-  /**
-   * Marks the server as removed from the list, or as replaced by another process at its address.
-   */
+  /** Marks the server as removed from the list. */
   public void markRemoved() {
     removed = true;
   }
 
+  /**
+   * Records that a process at the address refused a request as misdirected.
+   *
+   * <p>The server is gone only if another one refused it. Under the id of the server, the cause is
+   * the request, such as a model that the server does not have. Without an id either is possible.
+   *
+   * @param respondingId id of the process that refused the request
+   */
+  public void recordMisdirected(Optional<String> respondingId, long now) {
+    if (respondingId.isEmpty()) {
+      recordFailure(now);
+    } else if (!isServer(respondingId)) {
+      markRemoved();
+    }
+  }
+
+  /** Returns whether an id is that of the server. */
+  public boolean isServer(Optional<String> id) {
+    return id.isPresent() && id.get().equals(server.id());
+  }
+
   /**
    * Records a request that is about to be sent.
    *
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -125,7 +125,7 @@
     exchange.dispatcher().onRequestLimit(selection.backend(), newHead.requestsPerSecond());
     sendTracker.setState(sendNumber, newHead.notExecuted() ? SendState.NOT_RUN : SendState.RAN);
     if (newHead.misdirected()) {
-      selection.backend().markRemoved();
+      selection.backend().recordMisdirected(newHead.backendId(), lastProgressAt);
     }
     markPrefillDone();
     exchange.onHead(this, newHead);
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -279,6 +279,9 @@
 
   private void onNotRun(BackendCall from, BackendResponseHead response) {
     dispatcher.onNotRun(this, from, response);
+    if (response.misdirected() && from.selection().backend().isServer(response.backendId())) {
+      held.keepRefusal(new ErrorResponse(response, held.buffer().take()));
+    }
     if (takeRetry(false)) {
       retry(from, "refused with " + response.status());
     } else if (streaming) {
@@ -361,7 +364,7 @@
     return sendTracker.mayHaveRun();
   }
 
-  /** Ends the exchange with a kept error response or, without one, an error of this router. */
+  /** Ends the exchange with a kept response or, without one, an error of this router. */
   void endWithError(String reason, boolean timedOut) {
     if (done) {
       return;
@@ -370,8 +373,9 @@
       abort(reason);
       return;
     }
-    if (held.error().isPresent()) {
-      forwardErrorResponse(held.error().get());
+    Optional<ErrorResponse> kept = held.finalResponse(sendTracker.mayHaveRun());
+    if (kept.isPresent()) {
+      forwardErrorResponse(kept.get());
       return;
     }
     SendTracker.FailureOutcome verdict = sendTracker.failureOutcome(timedOut);
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -74,6 +74,13 @@
     /** Rejects the request with a 503 that states that it was not executed. */
     record Refuse() implements Behaviour {}
 
+    /**
+     * Refuses the request as misdirected, as for a model that it does not have.
+     *
+     * @param namesServer whether the response has the id of the server
+     */
+    record Misdirected(boolean namesServer) implements Behaviour {}
+
     /** Executes the request and resets the connection. */
     record Reset() implements Behaviour {}
 
@@ -238,7 +245,7 @@
     OutputStream out = socket.getOutputStream();
     String attemptId = request.header("x-attempt-id");
     if (!request.header("x-target-replica").equals(id)) {
-      write(out, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+      write(out, misdirected(attemptId, "X-Replica-Id: " + id + "\r\n"));
       return true;
     }
     switch (behaviour.apply(request)) {
@@ -254,6 +261,8 @@
                       .substring("HTTP/1.1 200 S\r\n".length()));
       case Behaviour.Refuse r ->
           write(out, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      case Behaviour.Misdirected m ->
+          write(out, misdirected(attemptId, m.namesServer() ? "X-Replica-Id: " + id + "\r\n" : ""));
       case Behaviour.Reset r -> {
         socket.setSoLinger(true, 0);
         return false;
@@ -295,6 +304,14 @@
     return true;
   }
 
+  private static String misdirected(String attemptId, String headers) {
+    return "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "
+        + attemptId
+        + "\r\n"
+        + headers
+        + "Content-Length: 0\r\n\r\n";
+  }
+
   private boolean writeStream(OutputStream out, Received request, Behaviour.Stream stream)
       throws IOException {
     String lastEventId = request.header("last-event-id");
