Ask for a credential wherever the configuration names client accounts

Once the operator had taken away the last key, requests with any key ran, or with none, and backend servers were shown no client account.

Cause: an empty map of keys stood for "no accounts, so no key is needed", and accounts without keys left no other trace in the catalog.

Ruled out: an old configuration, and the exception for anonymous routes.

--- a/core/src/main/java/org/kumquatplank/core/catalog/Catalog.java
+++ b/core/src/main/java/org/kumquatplank/core/catalog/Catalog.java
@@ -17,14 +17,14 @@
   private final long version;
   private final Map<String, List<Route>> routesByHost;
   private final Map<String, ServiceInfo> services;
-  private final Map<String, CredentialOwner> accountsByCredential;
+  private final Optional<Map<String, CredentialOwner>> accountsByCredential;
   private final CallerLimits limits;
 
   private Catalog(
       long version,
       Map<String, List<Route>> routesByHost,
       Map<String, ServiceInfo> services,
-      Map<String, CredentialOwner> accountsByCredential,
+      Optional<Map<String, CredentialOwner>> accountsByCredential,
       CallerLimits limits) {
     this.version = version;
     this.routesByHost = routesByHost;
@@ -36,13 +36,14 @@
   /**
    * Returns a catalog.
    *
-   * @param accountsByCredential client account of each credential; empty if none is required
+   * @param accountsByCredential client account of each credential; absent if callers need none,
+   *     which is not the same as an empty map, with which no credential is valid
    */
   public static Catalog of(
       long version,
       Collection<Route> routes,
       Collection<ServiceInfo> services,
-      Map<String, CredentialOwner> accountsByCredential,
+      Optional<Map<String, CredentialOwner>> accountsByCredential,
       CallerLimits limits) {
     Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.pathPrefix().length());
     Map<String, List<Route>> byHost = new HashMap<>();
@@ -51,7 +52,7 @@
         .forEach((host, list) -> byHost.put(host, list.stream().sorted(longestFirst).toList()));
     Map<String, ServiceInfo> byName =
         services.stream().collect(Collectors.toMap(ServiceInfo::name, s -> s, (a, b) -> b));
-    return new Catalog(version, byHost, byName, Map.copyOf(accountsByCredential), limits);
+    return new Catalog(version, byHost, byName, accountsByCredential.map(Map::copyOf), limits);
   }
 
   /** Returns the version number, which increases with each version. */
@@ -76,12 +77,12 @@
 
   /** Returns whether callers must present a credential. */
   public boolean requiresCredentials() {
-    return !accountsByCredential.isEmpty();
+    return accountsByCredential.isPresent();
   }
 
   /** Returns the client account of a credential, or nothing if the credential is unknown. */
   public Optional<CredentialOwner> credentialOwner(String credential) {
-    return Optional.ofNullable(accountsByCredential.get(credential));
+    return accountsByCredential.map(owners -> owners.get(credential));
   }
 
   /** Returns the limits for requests of callers. */
--- a/edge/src/test/java/org/kumquatplank/edge/EntryTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EntryTest.java
@@ -65,6 +65,23 @@
     }
   }
 
+  /** Guards against a configuration without a key left in which any key runs. */
+  @Example
+  void testNoKeyRunsOnceTheLastOneIsRevoked() throws IOException {
+    try (EdgeFixture edge = EdgeFixture.start(r -> GOOD)) {
+      edge.putCatalog("");
+      edge.await(() -> statusOf(edge) == 401);
+      int before = edge.backend(0).received().size();
+      String withOtherKey =
+          EdgeFixture.head("GET", "/read/x", "b", "Connection: close\r\n")
+              .replace("key-1", "key-9");
+      assertThat(EdgeFixture.status(edge.sendRaw(withOtherKey))).isEqualTo(401);
+      String withoutKey = withOtherKey.replace("Authorization: Token key-9\r\n", "");
+      assertThat(EdgeFixture.status(edge.sendRaw(withoutKey))).isEqualTo(401);
+      assertThat(edge.backend(0).received()).hasSize(before);
+    }
+  }
+
   @Example
   void testRevokedKeyIsRejectedAfterTheStoreLostItsHistory() throws IOException {
     try (EdgeFixture edge = EdgeFixture.start(r -> GOOD)) {
