Complete a roll-out only while its version has servers

When the servers of a new version were gone for good before they ran anything, the roll-out was recorded as completed, the platform stopped the old servers, and the service had none. Until then the share of the trial got 503.

The two new tests fail without the changes.

--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.RolloutOrder;
 import org.kumquatplank.core.dispatch.VersionRule;
@@ -201,20 +202,33 @@
     }
   }
 
+  /** Returns the rule in force, or one that can be met if no server of its version is left. */
   private VersionRule rule(String service, RolloutStateMachine machine, long now) {
-    VersionRule rule = machine.rule(now);
-    boolean served =
-        servers.stream().anyMatch(s -> s.service().equals(service) && matches(rule, s));
-    return served ? rule : new VersionRule.Any();
+    return switch (machine.rule(now)) {
+      case VersionRule.Any any -> any;
+      case VersionRule.Except except ->
+          servesAny(service, s -> !s.softwareVersion().equals(except.version()))
+              ? except
+              : new VersionRule.Any();
+      case VersionRule.Only only ->
+          hasServersInUse(service, only.version()) ? only : new VersionRule.Any();
+      case VersionRule.Trial trial -> {
+        if (!servesAny(service, s -> !s.softwareVersion().equals(trial.version()))) {
+          yield new VersionRule.Any();
+        }
+        yield hasServersInUse(service, trial.version())
+            ? trial
+            : new VersionRule.Except(trial.version());
+      }
+    };
   }
 
-  private static boolean matches(VersionRule rule, BackendServer server) {
-    return switch (rule) {
-      case VersionRule.Any any -> true;
-      case VersionRule.Except except -> !server.softwareVersion().equals(except.version());
-      case VersionRule.Only only -> server.softwareVersion().equals(only.version());
-      case VersionRule.Trial trial -> !server.softwareVersion().equals(trial.version());
-    };
+  private boolean servesAny(String service, Predicate<BackendServer> condition) {
+    return servers.stream().anyMatch(s -> s.service().equals(service) && condition.test(s));
+  }
+
+  private boolean hasServersInUse(String service, String version) {
+    return servesAny(service, s -> s.softwareVersion().equals(version) && !s.draining());
   }
 
   /** Reads the recorded status of the roll-outs and writes changed ones if it is the turn. */
@@ -294,12 +308,7 @@
         continue;
       }
       long number = machine.order().offset();
-      RolloutStatus.State state =
-          switch (machine.phase(now)) {
-            case RUNNING -> RolloutStatus.State.RUNNING;
-            case MAY_COMPLETE, COMPLETED -> RolloutStatus.State.COMPLETED;
-            case WITHDRAWN -> RolloutStatus.State.ROLLED_BACK;
-          };
+      RolloutStatus.State state = state(machine, now);
       boolean isTurn =
           state == RolloutStatus.State.RUNNING
               ? succession.isFirst(now)
@@ -311,6 +320,20 @@
     return result;
   }
 
+  private RolloutStatus.State state(RolloutStateMachine machine, long now) {
+    RolloutOrder order = machine.order();
+    return switch (machine.phase(now)) {
+      case RUNNING -> RolloutStatus.State.RUNNING;
+      // The other servers are stopped on completion.
+      case MAY_COMPLETE ->
+          hasServersInUse(order.service(), order.targetVersion())
+              ? RolloutStatus.State.COMPLETED
+              : RolloutStatus.State.RUNNING;
+      case COMPLETED -> RolloutStatus.State.COMPLETED;
+      case WITHDRAWN -> RolloutStatus.State.ROLLED_BACK;
+    };
+  }
+
   private void writeStatus(long end, Succession succession, long now) {
     Optional<RolloutStatus> first = unrecordedStatuses(succession, now).stream().findFirst();
     if (first.isEmpty()) {
--- a/edge/src/test/java/org/kumquatplank/edge/RolloutRecordingTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/RolloutRecordingTest.java
@@ -24,6 +24,7 @@
     return edge.store().newest("status", STATUS_KEY).replaceAll(".*\"state\":\"(\\w+)\".*", "$1");
   }
 
+  /** Orders a roll-out of 24 s to the version v2 that has run since then. */
   private static long order(EdgeFixture edge, long startedMillis) {
     edge.store().put("op", "other", "{}");
     long offset = edge.store().end("op");
@@ -47,12 +48,7 @@
     try (EdgeFixture edge = startWithBadVersion();
         FakePeer second = FakePeer.open("z", edge.peerAddress())) {
       order(edge, System.currentTimeMillis() - 21_000);
-      edge.await(
-          () -> {
-            second.sendDigest(EdgeDigest.newBuilder().setReady(true));
-            return second.lastDigest().getRolloutsList().stream()
-                .anyMatch(r -> r.getElapsedMillis() > 23_500);
-          });
+      edge.await(() -> elapsedAtLeast(second, 23_500));
       assertThat(recordedState(edge)).isEqualTo("running");
       edge.await(
           () -> {
@@ -63,6 +59,12 @@
     }
   }
 
+  private static boolean elapsedAtLeast(FakePeer second, long millis) {
+    second.sendDigest(EdgeDigest.newBuilder().setReady(true));
+    return second.lastDigest().getRolloutsList().stream()
+        .anyMatch(r -> r.getElapsedMillis() >= millis);
+  }
+
   private static void sendRequest(EdgeFixture edge) {
     try {
       edge.send("GET", "/read/x", "r" + System.nanoTime(), "");
@@ -113,4 +115,29 @@
       assertThat(recordedState(edge)).isEqualTo("running");
     }
   }
+
+  /** Guards against the end of all servers of a service, as the old ones stop on completion. */
+  @Example
+  void testVersionWithoutServersIsNotCompleted() throws IOException {
+    try (EdgeFixture edge = EdgeFixture.start(r -> new Behaviour.Answer(200, "good"));
+        FakePeer second = FakePeer.open("z", edge.peerAddress())) {
+      order(edge, System.currentTimeMillis() - 17_000);
+      edge.await(() -> elapsedAtLeast(second, 20_000));
+      edge.await(() -> elapsedAtLeast(second, 25_000));
+      assertThat(recordedState(edge)).isEqualTo("running");
+    }
+  }
+
+  /** Guards against requests of a trial that are rejected once its version has no servers. */
+  @Example
+  void testShareOfAVersionWithoutServersIsServedByTheOthers() throws IOException {
+    try (EdgeFixture edge = EdgeFixture.start(r -> new Behaviour.Answer(200, "good"));
+        FakePeer second = FakePeer.open("z", edge.peerAddress())) {
+      order(edge, System.currentTimeMillis() - 17_000);
+      edge.await(() -> elapsedAtLeast(second, 18_000));
+      for (int i = 0; i < 100; i++) {
+        assertThat(EdgeFixture.status(edge.send("GET", "/read/x", "r" + i, ""))).isEqualTo(200);
+      }
+    }
+  }
 }
