Send nothing more to a backend server that says it leaves

Before, an instance went on sending to it until the store told of its departure.

Any response counts: successes, streams as they begin, failures and refusals. From then on the server is closed like one that drains, so queued requests, retries and resumed streams go elsewhere. Digests tell the other instances, with the start of the process: a new process with the same id starts clean even where late digests still tell of the old one.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
@@ -61,6 +61,23 @@
     return byId.values();
   }
 
+  /** Returns the listed processes that said that they leave. */
+  public List<LeavingServer> leaving() {
+    return byId.values().stream()
+        .filter(BackendState::isLeaving)
+        .map(state -> new LeavingServer(state.server().id(), state.server().startedMillis()))
+        .toList();
+  }
+
+  /** Records the processes that a peer knows to leave, as far as they are listed. */
+  public void addLeaving(Collection<LeavingServer> leaving) {
+    for (LeavingServer server : leaving) {
+      Optional.ofNullable(byId.get(server.id()))
+          .filter(state -> state.server().startedMillis() == server.startedMillis())
+          .ifPresent(BackendState::recordLeaving);
+    }
+  }
+
   /** Replaces the in-flight load that a peer reported with its latest digest. */
   public void setPeerLoads(String peer, Collection<PeerLoad> loads, long now) {
     byId.values().forEach(state -> state.removePeerLoad(peer));
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -41,6 +41,7 @@
   private boolean onProbation;
   private long lastProgressAt = Long.MIN_VALUE / 2;
   private boolean removed;
+  private boolean leaving;
 
   BackendState(BackendServer server) {
     this.server = server;
@@ -58,9 +59,21 @@
     server = newServer;
   }
 
-  /** Returns whether the server accepts no new requests because it was removed or is draining. */
+  /** Returns whether the server gets no new requests because it was removed, drains or leaves. */
   public boolean isClosed() {
-    return removed || server.draining();
+    return removed || leaving || server.draining();
+  }
+
+  /** Records that the server said in a response that it leaves; returns whether that is new. */
+  public boolean recordLeaving() {
+    boolean isNew = !leaving;
+    leaving = true;
+    return isNew;
+  }
+
+  /** Returns whether the server said in a response that it leaves. */
+  public boolean isLeaving() {
+    return leaving;
   }
 
   /** Marks the server as removed from the list. */
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -124,6 +124,9 @@
                             lastProgressAt)));
     exchange.dispatcher().onRequestLimit(selection.backend(), newHead.requestsPerSecond());
     sendTracker.setState(sendNumber, newHead.notExecuted() ? SendState.NOT_RUN : SendState.RAN);
+    if (newHead.leaving() && !isFromOtherServer(newHead)) {
+      exchange.dispatcher().onLeaving(selection.backend());
+    }
     if (newHead.misdirected()) {
       selection.backend().recordMisdirected(newHead.backendId(), lastProgressAt);
     }
@@ -131,6 +134,11 @@
     exchange.onHead(this, newHead);
   }
 
+  /** Returns whether another process at the address refused the request. */
+  private boolean isFromOtherServer(BackendResponseHead response) {
+    return response.misdirected() && !selection.backend().isServer(response.backendId());
+  }
+
   /**
    * Handles bytes of the body; returns whether they completed an event of a stream.
    *
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -4,12 +4,15 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.Catalog;
+import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.membership.Succession;
@@ -17,6 +20,7 @@
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.EdgeLoad;
+import org.kumquatplank.link.proto.LeavingBackend;
 import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreClient;
 import org.kumquatplank.platform.store.StoreRecord;
@@ -69,6 +73,7 @@
   private Map<String, VersionRule> versionRules = Map.of();
   private volatile TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
+  private final Set<LeavingServer> receivedLeaving = new HashSet<>();
   private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
   private final long startedAt = Clock.micros();
@@ -300,6 +305,12 @@
               .setUnreadTokens(load.pendingPrefillTokens())
               .setSuspect(load.suspect()));
     }
+    for (LeavingServer server : trafficReport.leaving()) {
+      digest.addLeavingBackends(
+          LeavingBackend.newBuilder()
+              .setBackend(server.id())
+              .setStartedMillis(server.startedMillis()));
+    }
     if (!trafficReport.crashEvidence().isEmpty()) {
       digest.setCrashEvidence(CrashEvidenceCodec.encode(trafficReport.crashEvidence(), now));
     }
@@ -330,6 +341,9 @@
               load.getBackend(), load.getRequests(), load.getUnreadTokens(), load.getSuspect()));
     }
     receivedLoads.put(digest.getInstance(), loads);
+    for (LeavingBackend server : digest.getLeavingBackendsList()) {
+      receivedLeaving.add(new LeavingServer(server.getBackend(), server.getStartedMillis()));
+    }
     if (digest.hasCrashEvidence()) {
       dataPlane.mergeCrashEvidence(CrashEvidenceCodec.decode(digest.getCrashEvidence(), now));
     }
@@ -355,9 +369,11 @@
             ready,
             1 + live.size(),
             receivedLoads,
+            receivedLeaving,
             sendsTrials,
             operatorRecords.status().confirmedAt()));
     receivedLoads.clear();
+    receivedLeaving.clear();
     staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
     staleness.check(
         catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
--- a/edge/src/main/java/org/kumquatplank/edge/ControlReport.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlReport.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.link.proto.EdgeDigest;
 
@@ -13,6 +15,7 @@
  * @param readyPeers last digests of the peers that accept requests
  * @param liveInstances number of live instances including this one
  * @param loads in-flight load of the peers that reported it since the last report, by instance
+ * @param leaving backend servers that peers reported to leave since the last report
  * @param sendsTrials whether this instance is the one that sends trials of blocked segments
  * @param catalogConfirmedAt when the configuration was last confirmed, microseconds
  */
@@ -20,10 +23,12 @@
     List<EdgeDigest> readyPeers,
     int liveInstances,
     Map<String, List<PeerLoad>> loads,
+    Set<LeavingServer> leaving,
     boolean sendsTrials,
     long catalogConfirmedAt) {
   ControlReport {
     readyPeers = List.copyOf(readyPeers);
     loads = Map.copyOf(loads);
+    leaving = Set.copyOf(leaving);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -176,6 +176,7 @@
           addresses.set(readyInstances(report.readyPeers()));
           dispatcher.setLiveInstances(report.liveInstances());
           report.loads().forEach(dispatcher::setPeerLoads);
+          dispatcher.addLeaving(report.leaving());
           dispatcher.crashDetector().setSendsTrials(report.sendsTrials());
           dispatcher.catalog().setConfirmedAt(report.catalogConfirmedAt());
         });
@@ -199,6 +200,7 @@
   private TrafficReport report() {
     return new TrafficReport(
         dispatcher.ownLoads(),
+        dispatcher.leaving(),
         dispatcher.versionStats(),
         dispatcher.crashDetector().evidence(),
         dispatcher.isReady());
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -17,6 +17,7 @@
 import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.DrainSchedule;
+import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.Locality;
 import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.PeerLoad;
@@ -98,6 +99,15 @@
     registry.setPeerLoads(peer, loads, Clock.micros());
   }
 
+  /** Returns the backend servers that are known to leave. */
+  List<LeavingServer> leaving() {
+    return registry.leaving();
+  }
+
+  void addLeaving(Collection<LeavingServer> leaving) {
+    registry.addLeaving(leaving);
+  }
+
   CrashDetector crashDetector() {
     return crashDetector;
   }
@@ -362,6 +372,13 @@
         request.deadlineMicros(), crashTracker.blockOf(request), Clock.micros());
   }
 
+  /** Sends a backend server nothing more that said that it leaves. */
+  void onLeaving(BackendState backend) {
+    if (backend.recordLeaving()) {
+      EdgeLog.event("backend_leaving").addKeyValue("backend", backend.server().id()).log();
+    }
+  }
+
   /** Applies the limit that a response names, or that it names none. */
   void onRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
     if (backend.setRequestLimit(requestsPerSecond, liveInstances, Clock.micros())) {
--- a/edge/src/main/java/org/kumquatplank/edge/TrafficReport.java
+++ b/edge/src/main/java/org/kumquatplank/edge/TrafficReport.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.kumquatplank.core.dispatch.CrashEvidence;
+import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.rollout.VersionStats;
 
@@ -12,20 +13,23 @@
  * <p>Immutable and thread-safe.
  *
  * @param loads in-flight load of this instance per backend server
+ * @param leaving backend servers that are known to leave
  * @param evidence responses per version since the start, and in-flight requests
  * @param crashEvidence crashes of backend servers that are known
  * @param ready whether requests can be served
  */
 record TrafficReport(
     List<PeerLoad> loads,
+    List<LeavingServer> leaving,
     Map<VersionCounts.Key, VersionStats> evidence,
     CrashEvidence crashEvidence,
     boolean ready) {
   static final TrafficReport NOTHING =
-      new TrafficReport(List.of(), Map.of(), CrashEvidence.NONE, false);
+      new TrafficReport(List.of(), List.of(), Map.of(), CrashEvidence.NONE, false);
 
   TrafficReport {
     loads = List.copyOf(loads);
+    leaving = List.copyOf(leaving);
     evidence = Map.copyOf(evidence);
   }
 }
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -71,6 +71,20 @@
     /** Executes the request and names the requests a second that it takes from all callers. */
     record LimitedAnswer(String body, double requestsPerSecond) implements Behaviour {}
 
+    /**
+     * Executes the request and responds with more headers.
+     *
+     * @param headers header lines, each with its end
+     */
+    record AnswerWith(String headers, String body) implements Behaviour {}
+
+    /**
+     * Rejects the request with a 503 that states that it was not executed, and more headers.
+     *
+     * @param headers header lines, each with its end
+     */
+    record RefuseWith(String headers) implements Behaviour {}
+
     /** Rejects the request with a 503 that states that it was not executed. */
     record Refuse() implements Behaviour {}
 
@@ -253,12 +267,15 @@
       case Behaviour.LimitedAnswer a ->
           write(
               out,
-              OK_HEAD
-                  + "Server-Limit: "
-                  + a.requestsPerSecond()
-                  + "\r\n"
-                  + fullResponse(200, attemptId, a.body())
-                      .substring("HTTP/1.1 200 S\r\n".length()));
+              withHeaders(
+                  fullResponse(200, attemptId, a.body()),
+                  "Server-Limit: " + a.requestsPerSecond() + "\r\n"));
+      case Behaviour.AnswerWith a ->
+          write(out, withHeaders(fullResponse(200, attemptId, a.body()), a.headers()));
+      case Behaviour.RefuseWith r ->
+          write(
+              out,
+              withHeaders(fullResponse(503, attemptId, ""), "X-Not-Executed: 1\r\n" + r.headers()));
       case Behaviour.Refuse r ->
           write(out, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       case Behaviour.Misdirected m ->
@@ -304,6 +321,11 @@
     return true;
   }
 
+  private static String withHeaders(String response, String headers) {
+    int endOfStatus = response.indexOf("\r\n") + 2;
+    return response.substring(0, endOfStatus) + headers + response.substring(endOfStatus);
+  }
+
   private static String misdirected(String attemptId, String headers) {
     return "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "
         + attemptId
