Send nothing to a backend server for the time that it names in a refusal

Before, the time was ignored: the next request could go there at once.

The server then counts as one without room, in the one place where that is decided. When the time is over it gets one request, and twice as many with each that it accepts, so that what has waited doesn't meet it at once. Requests that would wait for longer than they can, also those in the queue, are rejected with the time at which the first of their servers opens.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.kumquatplank.core.catalog.ServiceInfo;
 
 /**
@@ -111,6 +112,21 @@
     return servers.stream().anyMatch(s -> isEligible(s, request, constraints));
   }
 
+  /**
+   * Returns the time until which all servers that may run the request want nothing from this
+   * instance, microseconds, or nothing if one of them takes requests.
+   */
+  public OptionalLong opensAt(
+      List<BackendState> servers, DispatchRequest request, Constraints constraints, long now) {
+    return servers.stream()
+        .filter(s -> isEligible(s, request, constraints))
+        .mapToLong(BackendState::opensAt)
+        .min()
+        .stream()
+        .filter(opensAt -> opensAt > now)
+        .findAny();
+  }
+
   private static boolean isEligible(
       BackendState state, DispatchRequest request, Constraints constraints) {
     return !state.isClosed()
@@ -119,7 +135,7 @@
   }
 
   private static boolean hasCapacity(BackendState state, Constraints constraints, long now) {
-    if (!state.isWithinRequestLimit(constraints.instanceCount(), now)) {
+    if (!state.takesAnother(now) || !state.isWithinRequestLimit(constraints.instanceCount(), now)) {
       return false;
     }
     int slots = Math.max(1, state.server().slots());
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -42,6 +42,8 @@
   private long lastProgressAt = Long.MIN_VALUE / 2;
   private boolean removed;
   private boolean leaving;
+  private long backOffUntil = Long.MIN_VALUE;
+  private int rampLimit = Integer.MAX_VALUE;
 
   BackendState(BackendServer server) {
     this.server = server;
@@ -179,6 +181,42 @@
     rateShare.ifPresent(share -> share.recordRequest(instances, now));
   }
 
+  /**
+   * Records that the server wants nothing more from this instance until a deadline.
+   *
+   * <p>After it, the server gets one request at a time, and twice as many with each that it
+   * accepts, so that it is not met by all that have waited.
+   *
+   * @return whether the server was in use before
+   */
+  public boolean backOff(long until, long now) {
+    boolean wasInUse = !isBackingOff(now);
+    backOffUntil = Math.max(backOffUntil, until);
+    rampLimit = 1;
+    return wasInUse;
+  }
+
+  private boolean isBackingOff(long now) {
+    return now < backOffUntil;
+  }
+
+  /** Returns the time from which the server takes requests of this instance, microseconds. */
+  long opensAt() {
+    return backOffUntil;
+  }
+
+  /** Records that the server accepted a request. */
+  public void recordAccepted(long now) {
+    if (!isBackingOff(now)) {
+      rampLimit = rampLimit > Integer.MAX_VALUE / 2 ? Integer.MAX_VALUE : rampLimit * 2;
+    }
+  }
+
+  /** Returns whether the server takes one more request of this instance. */
+  boolean takesAnother(long now) {
+    return !isBackingOff(now) && inFlightRequests < rampLimit;
+  }
+
   /** Records a load report that came with a response. */
   public void recordLoadReport(LoadReport load) {
     lastReport = load;
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -124,6 +124,11 @@
                             lastProgressAt)));
     exchange.dispatcher().onRequestLimit(selection.backend(), newHead.requestsPerSecond());
     sendTracker.setState(sendNumber, newHead.notExecuted() ? SendState.NOT_RUN : SendState.RAN);
+    if (newHead.backOffMillis().isPresent()) {
+      exchange.dispatcher().onBackOff(selection.backend(), newHead.backOffMillis().getAsLong());
+    } else if (!newHead.notExecuted()) {
+      selection.backend().recordAccepted(lastProgressAt);
+    }
     if (newHead.leaving() && !isFromOtherServer(newHead)) {
       exchange.dispatcher().onLeaving(selection.backend());
     }
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.dispatch.BackendRegistry;
@@ -219,12 +220,37 @@
       exchange.endWithError("no backend server may run it", false);
       return;
     }
-    long remainingMicros = exchange.request().deadlineMicros() - now;
+    if (opensTooLate(exchange, now)) {
+      rejectBackingOff(exchange);
+      return;
+    }
     exchange.setQueued(true);
-    queue.add(exchange.request(), exchange, now + (long) (remainingMicros * MAX_QUEUE_WAIT_RATIO));
+    queue.add(exchange.request(), exchange, startDeadline(exchange, now));
     metrics.count("waited");
   }
 
+  private static long startDeadline(Exchange exchange, long now) {
+    long remainingMicros = exchange.request().deadlineMicros() - now;
+    return now + (long) (remainingMicros * MAX_QUEUE_WAIT_RATIO);
+  }
+
+  /** Returns whether all backend servers want nothing for longer than the request may wait. */
+  private boolean opensTooLate(Exchange exchange, long now) {
+    OptionalLong opensAt = opensAt(exchange, now);
+    return opensAt.isPresent() && opensAt.getAsLong() > startDeadline(exchange, now);
+  }
+
+  private OptionalLong opensAt(Exchange exchange, long now) {
+    BackendSelector.Constraints all = constraints(exchange, exchange.model(), Set.of());
+    return selector.opensAt(
+        registry.forService(exchange.request().service()), exchange.request(), all, now);
+  }
+
+  private void rejectBackingOff(Exchange exchange) {
+    metrics.count("refused_backing_off");
+    exchange.endWithError("all backend servers ask to wait", false);
+  }
+
   /** Starts to drain: no request is sent for the first time after the schedule allows it. */
   void drain(DrainSchedule schedule) {
     drain = Optional.of(schedule);
@@ -294,15 +320,16 @@
   }
 
   private BackendSelector.Constraints constraints(Exchange exchange, Optional<String> model) {
+    return constraints(exchange, model, exchange.excludedBackends());
+  }
+
+  private BackendSelector.Constraints constraints(
+      Exchange exchange, Optional<String> model, Set<BackendState> excluded) {
     VersionRule rule =
         versionRules.getOrDefault(exchange.request().service(), new VersionRule.Any());
     boolean failedBefore = !exchange.excludedBackends().isEmpty();
     return new BackendSelector.Constraints(
-        exchange.service(),
-        model,
-        failedBefore ? rule.forRetry() : rule,
-        exchange.excludedBackends(),
-        liveInstances);
+        exchange.service(), model, failedBefore ? rule.forRetry() : rule, excluded, liveInstances);
   }
 
   private Optional<ModelChooser.LatencyEstimate> estimate(
@@ -367,9 +394,12 @@
     if (drain.isPresent()) {
       return RetryDelay.LEAVING_SECONDS;
     }
+    long now = Clock.micros();
     DispatchRequest request = exchange.request();
-    return RetryDelay.seconds(
-        request.deadlineMicros(), crashTracker.blockOf(request), Clock.micros());
+    Optional<BlockedSegment> block = crashTracker.blockOf(request);
+    OptionalLong notBefore =
+        block.isPresent() ? OptionalLong.of(block.get().nextTrialAt()) : opensAt(exchange, now);
+    return RetryDelay.seconds(request.deadlineMicros(), notBefore, now);
   }
 
   /** Sends a backend server nothing more that said that it leaves. */
@@ -379,6 +409,22 @@
     }
   }
 
+  /** Sends a backend server nothing more for the time that it named in a refusal. */
+  void onBackOff(BackendState backend, long millis) {
+    long now = Clock.micros();
+    if (!backend.backOff(now + millis * MICROS_PER_MILLI, now)) {
+      return;
+    }
+    EdgeLog.event("backend_back_off")
+        .addKeyValue("backend", backend.server().id())
+        .addKeyValue("ms", millis)
+        .log();
+    List.copyOf(exchanges).stream()
+        .filter(e -> e.isQueued() && e.request().service().equals(backend.server().service()))
+        .filter(e -> opensTooLate(e, now))
+        .forEach(this::rejectBackingOff);
+  }
+
   /** Applies the limit that a response names, or that it names none. */
   void onRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
     if (backend.setRequestLimit(requestsPerSecond, liveInstances, Clock.micros())) {
--- a/edge/src/main/java/org/kumquatplank/edge/RetryDelay.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RetryDelay.java
@@ -1,7 +1,6 @@
 package org.kumquatplank.edge;
 
-import java.util.Optional;
-import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
+import java.util.OptionalLong;
 
 /** Computes when a rejected caller should retry. Stateless and thread-safe. */
 final class RetryDelay {
@@ -25,12 +24,12 @@
    * Returns the delay, seconds.
    *
    * @param deadlineMicros deadline of the request, microseconds
-   * @param block blocked segment of the request, which is not sent before the next trial
+   * @param notBefore time before which the request would be rejected again, microseconds, if known
    */
-  static double seconds(long deadlineMicros, Optional<BlockedSegment> block, long now) {
+  static double seconds(long deadlineMicros, OptionalLong notBefore, long now) {
     double delay = BASE_SECONDS + JITTER_SECONDS * Math.random();
-    if (block.isPresent()) {
-      return delay + Math.max(0, block.get().nextTrialAt() - now) / MICROS_PER_SECOND;
+    if (notBefore.isPresent()) {
+      return delay + Math.max(0, notBefore.getAsLong() - now) / MICROS_PER_SECOND;
     }
     double secondsLeft = (deadlineMicros - now) / MICROS_PER_SECOND;
     return Math.max(MIN_SECONDS, Math.min(secondsLeft * MAX_RATIO_OF_TIME_LEFT, delay));
