Soak: backend servers that leave, and that want nothing for a time

In the soak a server says for 4 s that it leaves and is replaced by another process, and refusals name 1.5 s, beside all other faults.

--- a/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
@@ -16,14 +16,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.kumquatplank.testkit.fleet.FakeBackendServer;
 import org.kumquatplank.testkit.fleet.FakeBackendServer.Behaviour;
@@ -45,6 +48,13 @@
   private static final int FIRST_PORT = 20_000;
   private static final int PORTS_EACH = 8;
   private static final long RECOVERY_MILLIS = 15_000;
+
+  /** Time for which a backend server wants nothing after some of its refusals. */
+  private static final long BACK_OFF_MILLIS = 1_500;
+
+  /** Time for which a backend server says that it leaves; longer than the drain takes. */
+  private static final long LEAVING_MILLIS = 4_000;
+
   private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
 
   private final long seed;
@@ -58,6 +68,11 @@
   private final Map<String, AtomicInteger> runCounts = new ConcurrentHashMap<>();
   private final Queue<String> violations = new ConcurrentLinkedQueue<>();
   private final AtomicInteger served = new AtomicInteger();
+  private final NoticeCheck notices = new NoticeCheck();
+  private final AtomicBoolean someServerLeaves = new AtomicBoolean();
+  private final Set<Integer> frozenInstances = new HashSet<>();
+  private final Set<Integer> cutBackends = new HashSet<>();
+  private volatile String leavingServer = "";
   private volatile boolean faultsOver;
   private volatile boolean stopped;
 
@@ -67,8 +82,15 @@
     this.firstPort = freePorts();
   }
 
-  /** Result of a run: violations with the request id, and the number of requests served. */
-  record Result(List<String> violations, int served) {}
+  /**
+   * Result of a run.
+   *
+   * @param violations violations with the request id
+   * @param served number of requests served
+   * @param notices number of responses in which a backend server said that it leaves or wants
+   *     nothing for a time
+   */
+  record Result(List<String> violations, int served, int notices) {}
 
   static Result run(long seed, long millis) throws IOException, InterruptedException {
     try (EdgeSoak soak = new EdgeSoak(seed)) {
@@ -82,7 +104,12 @@
     for (long seed = first; seed < first + Long.parseLong(arguments[1]); seed++) {
       Result result = run(seed, Long.parseLong(arguments[2]));
       System.out.printf(
-          Locale.ROOT, "seed %d: served %d, %s%n", seed, result.served(), result.violations());
+          Locale.ROOT,
+          "seed %d: served %d, %d notices, %s%n",
+          seed,
+          result.served(),
+          result.notices(),
+          result.violations());
     }
   }
 
@@ -111,6 +138,11 @@
       FaultProxy proxy = FaultProxy.open(new InetSocketAddress(LOOPBACK, port));
       backendProxies.add(proxy);
       store.put("servers", id, entry.replace("127.0.0.1:" + port, proxy.address()));
+      backend.onRestart(
+          endedId -> {
+            store.drop("servers", endedId);
+            store.put("servers", backend.id(), entry.replace("127.0.0.1:" + port, proxy.address()));
+          });
     }
     for (int i = 0; i < INSTANCES; i++) {
       start(i);
@@ -136,7 +168,7 @@
     try (SegmentCrashPhase crashes = SegmentCrashPhase.open(store, entryPorts)) {
       violations.addAll(crashes.run());
     }
-    return new Result(List.copyOf(violations), served.get());
+    return new Result(List.copyOf(violations), served.get(), notices.notices());
   }
 
   private static String catalog() {
@@ -157,21 +189,59 @@
   /** Runs most requests; faults depend on the seed and request id alone, to be reproducible. */
   private Behaviour behave(Received request) {
     String id = request.header("x-attempt-id");
+    String backend = request.header("x-target-replica");
+    int instance = Integer.parseInt(id.substring(id.lastIndexOf('-') + 1));
+    notices.onRequest(instance, backend, System.nanoTime()).ifPresent(violations::add);
     Behaviour good = new Behaviour.Answer(200, "for " + id);
     int chance = faultsOver ? 100 : Math.floorMod(id.hashCode() * 31 + (int) seed, 100);
     if (chance == 1) {
       return new Behaviour.Refuse();
     }
+    if (chance == 7) {
+      notices.onBackOff(instance, backend, BACK_OFF_MILLIS, System.nanoTime());
+      return new Behaviour.RefuseWith("Retry-After: " + BACK_OFF_MILLIS / 1_000.0 + "\r\n");
+    }
     runCounts.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
     return switch (chance) {
       case 2 -> new Behaviour.Reset();
       case 3 -> new Behaviour.Answer(500, "failed");
       case 4 -> new Behaviour.AnswerTwice("for " + id);
       case 5 -> new Behaviour.CutOff("for " + id);
-      default -> good;
+      default -> isLeaving(backend, chance) ? leave(instance, backend, id) : good;
     };
   }
 
+  /** Returns whether a backend server leaves; one at a time does, until it is replaced. */
+  private boolean isLeaving(String backend, int chance) {
+    if (chance == 6 && someServerLeaves.compareAndSet(false, true)) {
+      leavingServer = backend;
+      Thread.ofVirtual().start(() -> replaceLater(backend));
+    }
+    return someServerLeaves.get() && backend.equals(leavingServer);
+  }
+
+  private Behaviour leave(int instance, String backend, String id) {
+    notices.onLeaving(instance, backend, System.nanoTime());
+    return new Behaviour.AnswerWith("Server-Leaving: 1\r\n", "for " + id);
+  }
+
+  private void replaceLater(String backend) {
+    try {
+      Thread.sleep(LEAVING_MILLIS);
+      for (FakeBackendServer server : backends) {
+        if (server.id().equals(backend)) {
+          server.replace();
+        }
+      }
+      leavingServer = "";
+      someServerLeaves.set(false);
+    } catch (IOException e) {
+      violations.add(backend + " could not be replaced: " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void start(int index) throws IOException {
     int port = firstPort + index * PORTS_EACH;
     String settings =
@@ -211,16 +281,22 @@
 
   private void injectFault() throws IOException, InterruptedException {
     int index = random.nextInt(INSTANCES);
-    FaultProxy proxy = backendProxies.get(random.nextInt(BACKENDS));
+    int backend = random.nextInt(BACKENDS);
+    FaultProxy proxy = backendProxies.get(backend);
     switch (random.nextInt(10)) {
       case 0 -> restart(index, "KILL");
       case 1 -> restart(index, "TERM");
-      case 2 -> signal(index, "STOP");
+      case 2 -> freeze(index);
       case 3 -> sendHangUp(index);
-      case 4 -> proxy.reset();
-      case 5 -> proxy.setMode(FaultProxy.Mode.SILENT);
-      case 6 -> proxy.setMode(FaultProxy.Mode.ONE_WAY);
-      case 7 -> proxy.setMode(FaultProxy.Mode.DELAY);
+      case 4 -> {
+        proxy.reset();
+        if (!cutBackends.contains(backend)) {
+          disturbBackend(backend);
+        }
+      }
+      case 5 -> cut(backend, FaultProxy.Mode.SILENT);
+      case 6 -> cut(backend, FaultProxy.Mode.ONE_WAY);
+      case 7 -> cut(backend, FaultProxy.Mode.DELAY);
       case 8 -> store.setFault(FakeStore.Fault.DOWN);
       default -> storeProxy.setMode(FaultProxy.Mode.SILENT);
     }
@@ -234,9 +310,29 @@
     store.setFault(FakeStore.Fault.NONE);
     storeProxy.setMode(FaultProxy.Mode.PASS);
     backendProxies.forEach(p -> p.setMode(FaultProxy.Mode.PASS));
+    cutBackends.forEach(this::disturbBackend);
+    cutBackends.clear();
     for (int i = 0; i < INSTANCES; i++) {
       signal(i, "CONT");
     }
+    frozenInstances.forEach(i -> notices.disturbInstance(i, System.nanoTime()));
+    frozenInstances.clear();
+  }
+
+  private void freeze(int index) throws IOException, InterruptedException {
+    signal(index, "STOP");
+    frozenInstances.add(index);
+    notices.disturbInstance(index, NoticeCheck.LASTING);
+  }
+
+  private void cut(int backend, FaultProxy.Mode mode) {
+    backendProxies.get(backend).setMode(mode);
+    cutBackends.add(backend);
+    notices.disturbBackend(backends.get(backend).id(), NoticeCheck.LASTING);
+  }
+
+  private void disturbBackend(int backend) {
+    notices.disturbBackend(backends.get(backend).id(), System.nanoTime());
   }
 
   private void restart(int index, String signal) throws IOException, InterruptedException {
@@ -247,6 +343,7 @@
       instances[index].destroyForcibly().waitFor();
     }
     start(index);
+    notices.disturbInstance(index, System.nanoTime());
   }
 
   /**
@@ -287,7 +384,8 @@
     for (int i = 0; !stopped; i++) {
       boolean order = choice.nextBoolean();
       int index = choice.nextInt(INSTANCES);
-      String id = String.format(Locale.ROOT, "%s-%d-%d-%d", order ? "o" : "r", seed, caller, i);
+      String id =
+          String.format(Locale.ROOT, "%s-%d-%d-%d-%d", order ? "o" : "r", seed, caller, i, index);
       try {
         checkResponse(id, order, send(client, index, order, id));
       } catch (IOException e) {
@@ -346,7 +444,7 @@
     for (int index = 0; index < INSTANCES; index++) {
       int good = 0;
       for (int i = 0; good < 5 && System.nanoTime() < end; i++) {
-        good = isServed(client, index, "n-" + index + "-" + i) ? good + 1 : 0;
+        good = isServed(client, index, "n-" + i + "-" + index) ? good + 1 : 0;
       }
       if (good < 5) {
         violations.add("entry " + index + " does not serve after all faults are over");
--- a/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoakTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoakTest.java
@@ -13,5 +13,6 @@
     EdgeSoak.Result result = EdgeSoak.run(1, MILLIS);
     assertThat(result.violations()).isEmpty();
     assertThat(result.served()).isPositive();
+    assertThat(result.notices()).isPositive();
   }
 }
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -28,6 +28,7 @@
 public final class FakeBackendServer implements AutoCloseable {
   private static final String OK_HEAD = "HTTP/1.1 200 OK\r\n";
   private static final long LATE_RESPONSE_MILLIS = 50;
+  private static final long REPLACEMENT_MILLIS = 200;
   private static final int BLOCK_BYTES = 16_384;
 
   private final String name;
@@ -199,6 +200,11 @@
         state);
   }
 
+  /** Ends the process; one with another id takes its place at the address soon. */
+  public void replace() throws IOException {
+    crash(REPLACEMENT_MILLIS);
+  }
+
   private synchronized void crash(long downMillis) throws IOException {
     if (listener.isClosed()) {
       return;
