--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -130,7 +130,7 @@
       selection.backend().recordAccepted(lastProgressAt);
     }
     if (newHead.leaving() && !isFromOtherServer(newHead)) {
-      exchange.dispatcher().onLeaving(selection.backend());
+      exchange.dispatcher().outcomes().onLeaving(selection.backend());
     }
     if (newHead.misdirected()) {
       selection.backend().recordMisdirected(newHead.backendId(), lastProgressAt);
@@ -213,7 +213,7 @@
   /** Cancels the request at the backend server by closing its connection. */
   void cancel() {
     if (!ended) {
-      exchange.dispatcher().onCancelled(this);
+      exchange.dispatcher().outcomes().onCancelled(this);
       finish();
       if (connection != null) {
         connection.cancel();
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/CallOutcomes.java
@@ -0,0 +1,84 @@
+package org.kumquatplank.edge;
+
+import java.util.OptionalInt;
+import org.kumquatplank.core.dispatch.BackendSelector;
+import org.kumquatplank.core.dispatch.BackendState;
+import org.kumquatplank.platform.wire.BackendResponseHead;
+
+/**
+ * Records what the calls show of backend servers and their versions, in state, metrics and logs.
+ *
+ * <p>Confined to the traffic thread.
+ */
+final class CallOutcomes {
+  private final BackendPool pool;
+  private final BackendSelector selector;
+  private final EdgeMetrics metrics;
+  private final VersionCounts versionCounts = new VersionCounts();
+
+  CallOutcomes(BackendPool pool, BackendSelector selector, EdgeMetrics metrics) {
+    this.pool = pool;
+    this.selector = selector;
+    this.metrics = metrics;
+  }
+
+  VersionCounts versionCounts() {
+    return versionCounts;
+  }
+
+  /** Sends a backend server nothing more that said that it leaves. */
+  void onLeaving(BackendState backend) {
+    if (backend.recordLeaving()) {
+      EdgeLog.event("backend_leaving").addKeyValue("backend", backend.server().id()).log();
+    }
+  }
+
+  void onFirstResponse(Exchange exchange, BackendCall call) {
+    if (call.hadNoPrefillAhead()) {
+      long micros = Clock.micros() - call.sentAt();
+      selector.recordFirstEvent(call.selection(), exchange.model(), micros);
+    }
+  }
+
+  void onEscalated(Exchange exchange, BackendCall call, OptionalInt confidence, String larger) {
+    metrics.count("escalated");
+    ExchangeLog.escalated(exchange, confidence, larger);
+  }
+
+  void onSuccess(Exchange exchange, BackendCall call, int eventCount) {
+    long now = Clock.micros();
+    call.selection().backend().recordSuccess(now);
+    versionCounts.addSuccess(call, eventCount, now);
+    metrics.time(exchange.request().route().name(), now - exchange.request().arrivalMicros());
+  }
+
+  void onFailure(Exchange exchange, BackendCall call, String reason) {
+    BackendState backend = call.selection().backend();
+    backend.recordFailure(Clock.micros());
+    versionCounts.addFailure(backend.server());
+    metrics.count("bad_answers");
+    ExchangeLog.failed(exchange, backend.server(), reason);
+  }
+
+  void onCancelled(BackendCall call) {
+    versionCounts.addCancelled(call, Clock.micros());
+  }
+
+  void onSilent(Exchange exchange, BackendCall call, long silentMicros) {
+    BackendState backend = call.selection().backend();
+    backend.recordFailure(Clock.micros());
+    pool.closeIdle(backend);
+    metrics.count("silent");
+  }
+
+  void onUnreachable(Exchange exchange, BackendCall call, String reason) {
+    call.selection().backend().recordFailure(Clock.micros());
+    metrics.count("unreachable");
+    ExchangeLog.unreachable(exchange, call, reason);
+  }
+
+  void onNotRun(Exchange exchange, BackendCall call, BackendResponseHead response) {
+    metrics.count("refused_by_backend");
+    ExchangeLog.refusedByBackend(exchange, call, response.status());
+  }
+}
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -29,7 +29,6 @@
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.dispatch.WaitQueue;
 import org.kumquatplank.core.rollout.VersionStats;
-import org.kumquatplank.platform.wire.BackendResponseHead;
 import org.kumquatplank.platform.wire.EdgeSettings;
 
 /**
@@ -58,7 +57,7 @@
   private final SegmentCrashTracker crashTracker = SegmentCrashTracker.create();
   private final CrashDetector crashDetector;
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
-  private final VersionCounts versionCounts = new VersionCounts();
+  private final CallOutcomes outcomes;
   private final LogThrottle retryLimitLog = LogThrottle.create((long) MICROS_PER_SECOND);
   private final Map<String, RetryLimit> retryLimits = new HashMap<>();
   private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
@@ -79,6 +78,7 @@
     this.selector =
         BackendSelector.create(
             new Locality(settings.zone(), settings.regions()), new PrefillRate());
+    this.outcomes = new CallOutcomes(pool, selector, metrics);
   }
 
   void setServers(Collection<BackendServer> servers) {
@@ -89,7 +89,7 @@
 
   void setVersionRules(Map<String, VersionRule> newRules) {
     versionRules = newRules;
-    versionCounts.setRules(newRules);
+    outcomes.versionCounts().setRules(newRules);
   }
 
   void setLiveInstances(int live) {
@@ -109,6 +109,10 @@
     registry.addLeaving(leaving);
   }
 
+  CallOutcomes outcomes() {
+    return outcomes;
+  }
+
   CrashDetector crashDetector() {
     return crashDetector;
   }
@@ -127,7 +131,7 @@
 
   /** Returns what this instance has seen of each version of each service. */
   Map<VersionCounts.Key, VersionStats> versionStats() {
-    return versionCounts.snapshot(registry.all(), exchanges, Clock.micros());
+    return outcomes.versionCounts().snapshot(registry.all(), exchanges, Clock.micros());
   }
 
   int openExchanges() {
@@ -402,13 +406,6 @@
     return RetryDelay.seconds(request.deadlineMicros(), notBefore, now);
   }
 
-  /** Sends a backend server nothing more that said that it leaves. */
-  void onLeaving(BackendState backend) {
-    if (backend.recordLeaving()) {
-      EdgeLog.event("backend_leaving").addKeyValue("backend", backend.server().id()).log();
-    }
-  }
-
   /** Sends a backend server nothing more for the time that it named in a refusal. */
   void onBackOff(BackendState backend, long millis) {
     long now = Clock.micros();
@@ -436,55 +433,6 @@
     }
   }
 
-  void onFirstResponse(Exchange exchange, BackendCall call) {
-    if (call.hadNoPrefillAhead()) {
-      long micros = Clock.micros() - call.sentAt();
-      selector.recordFirstEvent(call.selection(), exchange.model(), micros);
-    }
-  }
-
-  void onEscalated(Exchange exchange, BackendCall call, OptionalInt confidence, String larger) {
-    metrics.count("escalated");
-    ExchangeLog.escalated(exchange, confidence, larger);
-  }
-
-  void onSuccess(Exchange exchange, BackendCall call, int eventCount) {
-    long now = Clock.micros();
-    call.selection().backend().recordSuccess(now);
-    versionCounts.addSuccess(call, eventCount, now);
-    metrics.time(exchange.request().route().name(), now - exchange.request().arrivalMicros());
-  }
-
-  void onFailure(Exchange exchange, BackendCall call, String reason) {
-    BackendState backend = call.selection().backend();
-    backend.recordFailure(Clock.micros());
-    versionCounts.addFailure(backend.server());
-    metrics.count("bad_answers");
-    ExchangeLog.failed(exchange, backend.server(), reason);
-  }
-
-  void onCancelled(BackendCall call) {
-    versionCounts.addCancelled(call, Clock.micros());
-  }
-
-  void onSilent(Exchange exchange, BackendCall call, long silentMicros) {
-    BackendState backend = call.selection().backend();
-    backend.recordFailure(Clock.micros());
-    pool.closeIdle(backend);
-    metrics.count("silent");
-  }
-
-  void onUnreachable(Exchange exchange, BackendCall call, String reason) {
-    call.selection().backend().recordFailure(Clock.micros());
-    metrics.count("unreachable");
-    ExchangeLog.unreachable(exchange, call, reason);
-  }
-
-  void onNotRun(Exchange exchange, BackendCall call, BackendResponseHead response) {
-    metrics.count("refused_by_backend");
-    ExchangeLog.refusedByBackend(exchange, call, response.status());
-  }
-
   void onDone(Exchange exchange, String outcome) {
     exchanges.remove(exchange);
     if (exchange.isQueued()) {
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -128,7 +128,7 @@
     sendCount--;
     connectFailures++;
     excludedBackends.add(ended.selection().backend());
-    dispatcher.onUnreachable(this, ended, reason);
+    dispatcher.outcomes().onUnreachable(this, ended, reason);
     if (connectFailures > MAX_CONNECT_FAILURES) {
       endWithError("no backend server could be reached", false);
     } else {
@@ -169,12 +169,12 @@
       return;
     }
     if (good && route().stream()) {
-      dispatcher.onFirstResponse(this, from);
+      dispatcher.outcomes().onFirstResponse(this, from);
       Optional<String> larger =
           streaming ? Optional.empty() : dispatcher.largerModel(this, response.confidence());
       if (larger.isPresent() && sendCount < route().maxAttempts() && dispatcher.takeRetry(this)) {
         from.cancel();
-        dispatcher.onEscalated(this, from, response.confidence(), larger.get());
+        dispatcher.outcomes().onEscalated(this, from, response.confidence(), larger.get());
         model = larger;
         dispatcher.dispatch(this);
       }
@@ -260,7 +260,7 @@
     } else if (route().stream()) {
       onStreamEnd(from, response);
     } else {
-      dispatcher.onSuccess(this, from, 1);
+      dispatcher.outcomes().onSuccess(this, from, 1);
       finish("answered");
       writer.respond(response.status(), response.forwardedHeaders(), held.buffer().take());
     }
@@ -272,13 +272,13 @@
       return;
     }
     beginStream(response);
-    dispatcher.onSuccess(this, from, Math.max(1, held.events().eventCount()));
+    dispatcher.outcomes().onSuccess(this, from, Math.max(1, held.events().eventCount()));
     finish("streamed");
     writer.endStream();
   }
 
   private void onNotRun(BackendCall from, BackendResponseHead response) {
-    dispatcher.onNotRun(this, from, response);
+    dispatcher.outcomes().onNotRun(this, from, response);
     if (response.misdirected() && from.selection().backend().isServer(response.backendId())) {
       held.keepRefusal(new ErrorResponse(response, held.buffer().take()));
     }
@@ -292,7 +292,7 @@
   }
 
   private void onErrorResponse(BackendCall from, BackendResponseHead response) {
-    dispatcher.onFailure(this, from, "status " + response.status());
+    dispatcher.outcomes().onFailure(this, from, "status " + response.status());
     ErrorResponse failure = new ErrorResponse(response, held.buffer().take());
     if (takeRetry(true)) {
       held.keepError(failure);
@@ -313,7 +313,7 @@
     if (done) {
       return;
     }
-    dispatcher.onFailure(this, from, reason);
+    dispatcher.outcomes().onFailure(this, from, reason);
     if (takeRetry(true)) {
       retry(from, reason);
     } else if (streaming) {
@@ -336,7 +336,7 @@
       if (silentMicros > silenceTimeout && writer.isWritable() && takeRetry(true)) {
         BackendCall silentCall = call;
         silentCall.cancel();
-        dispatcher.onSilent(this, silentCall, silentMicros);
+        dispatcher.outcomes().onSilent(this, silentCall, silentMicros);
         retry(silentCall, "silent for " + silentMicros / MICROS_PER_MILLI + " ms");
       }
     }
