--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -23,7 +23,6 @@
 import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.PrefillRate;
-import org.kumquatplank.core.dispatch.RetryLimit;
 import org.kumquatplank.core.dispatch.SegmentCrashTracker;
 import org.kumquatplank.core.dispatch.SilenceTimeout;
 import org.kumquatplank.core.dispatch.VersionRule;
@@ -38,7 +37,6 @@
  */
 final class Dispatcher {
   private static final long MICROS_PER_MILLI = 1_000;
-  private static final double MICROS_PER_SECOND = 1_000_000;
 
   private static final String LEAVING = "this instance is leaving";
 
@@ -48,37 +46,35 @@
   /** Fraction of its remaining time that a request may spend in the queue. */
   private static final double MAX_QUEUE_WAIT_RATIO = 0.5;
 
-  private final EdgeSettings settings;
   private final BackendPool pool;
   private final EdgeMetrics metrics;
   private final ConfirmedCatalog catalog;
   private final BackendRegistry registry = BackendRegistry.create();
-  private final BackendSelector selector;
+  private final BackendChoice choice;
   private final SegmentCrashTracker crashTracker = SegmentCrashTracker.create();
   private final CrashDetector crashDetector;
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
   private final CallOutcomes outcomes;
-  private final LogThrottle retryLimitLog = LogThrottle.create((long) MICROS_PER_SECOND);
-  private final Map<String, RetryLimit> retryLimits = new HashMap<>();
+  private final RetryLimits retryLimits;
   private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
-  private Map<String, VersionRule> versionRules = Map.of();
   private boolean serversKnown;
-  private int liveInstances = 1;
   private Optional<DrainSchedule> drain = Optional.empty();
   private Runnable onFirstExchange = () -> {};
   private boolean ticking;
 
   Dispatcher(EdgeSettings settings, BackendPool pool, EdgeMetrics metrics) {
-    this.settings = settings;
     this.pool = pool;
     this.metrics = metrics;
     this.catalog = ConfirmedCatalog.create(settings.limits().configPropagationMillis());
     this.crashDetector = new CrashDetector(pool, crashTracker, metrics);
-    this.selector =
-        BackendSelector.create(
-            new Locality(settings.zone(), settings.regions()), new PrefillRate());
-    this.outcomes = new CallOutcomes(pool, selector, metrics);
+    this.choice =
+        new BackendChoice(
+            registry,
+            BackendSelector.create(
+                new Locality(settings.zone(), settings.regions()), new PrefillRate()));
+    this.retryLimits = new RetryLimits(settings.limits(), metrics);
+    this.outcomes = new CallOutcomes(pool, choice.selector(), metrics);
   }
 
   void setServers(Collection<BackendServer> servers) {
@@ -88,12 +84,12 @@
   }
 
   void setVersionRules(Map<String, VersionRule> newRules) {
-    versionRules = newRules;
+    choice.setVersionRules(newRules);
     outcomes.versionCounts().setRules(newRules);
   }
 
   void setLiveInstances(int live) {
-    liveInstances = Math.max(1, live);
+    choice.setLiveInstances(Math.max(1, live));
   }
 
   void setPeerLoads(String peer, List<PeerLoad> loads) {
@@ -167,36 +163,17 @@
       ticking = true;
       onFirstExchange.run();
     }
-    retryLimit(exchange).recordRequest(Clock.micros());
+    retryLimits.recordRequest(exchange);
     dispatch(exchange);
   }
 
-  private RetryLimit retryLimit(Exchange exchange) {
-    EdgeSettings.Limits limits = settings.limits();
-    return retryLimits.computeIfAbsent(
-        exchange.request().service(),
-        s ->
-            RetryLimit.create(
-                limits.retryRatio(),
-                limits.retryAllowance(),
-                limits.retryWindowMillis() * MICROS_PER_MILLI));
-  }
-
   private WaitQueue<Exchange> queue(Exchange exchange) {
     return queues.computeIfAbsent(exchange.request().service(), s -> WaitQueue.create());
   }
 
   /** Takes one retry from the limit shared by all instances; returns false if exhausted. */
   boolean takeRetry(Exchange exchange) {
-    long now = Clock.micros();
-    boolean taken = retryLimit(exchange).tryAcquire(liveInstances, now);
-    if (!taken) {
-      metrics.count("repeats_over_limit");
-      retryLimitLog
-          .pass(now)
-          .ifPresent(omitted -> ExchangeLog.overRetryLimit(exchange, liveInstances, omitted));
-    }
-    return taken;
+    return retryLimits.take(exchange, choice.liveInstances());
   }
 
   /** Sends a request to the best backend server, queues it, or fails it if none may serve it. */
@@ -219,8 +196,7 @@
     if (!hasRequestsAhead && tryDispatch(exchange, now)) {
       return;
     }
-    List<BackendState> servers = registry.forService(exchange.request().service());
-    if (!selector.isServable(servers, exchange.request(), constraints(exchange))) {
+    if (!choice.isServable(exchange)) {
       exchange.endWithError("no backend server may run it", false);
       return;
     }
@@ -240,16 +216,10 @@
 
   /** Returns whether all backend servers want nothing for longer than the request may wait. */
   private boolean opensTooLate(Exchange exchange, long now) {
-    OptionalLong opensAt = opensAt(exchange, now);
+    OptionalLong opensAt = choice.opensAt(exchange, now);
     return opensAt.isPresent() && opensAt.getAsLong() > startDeadline(exchange, now);
   }
 
-  private OptionalLong opensAt(Exchange exchange, long now) {
-    BackendSelector.Constraints all = constraints(exchange, exchange.model(), Set.of());
-    return selector.opensAt(
-        registry.forService(exchange.request().service()), exchange.request(), all, now);
-  }
-
   private void rejectBackingOff(Exchange exchange) {
     metrics.count("refused_backing_off");
     exchange.endWithError("all backend servers ask to wait", false);
@@ -262,7 +232,7 @@
 
   /** Ends all open requests, since the process is about to end. */
   void endAll() {
-    List.copyOf(exchanges).forEach(e -> e.endUnfinished(LEAVING));
+    List.copyOf(exchanges).forEach(e -> e.endUnfinished(LEAVING, false));
   }
 
   private boolean isTooLateToStart(Exchange exchange, long now) {
@@ -308,45 +278,15 @@
     if (exchange.model().isEmpty() && exchange.routerSelectsModel()) {
       exchange.setModel(modelChooser.firstModel(request));
     }
-    BackendSelector.Constraints constraints = constraints(exchange);
-    Optional<BackendSelector.Selection> selection =
-        selector.select(registry.forService(request.service()), request, constraints, now);
+    Optional<BackendSelector.Selection> selection = choice.select(exchange, now);
     if (selection.isEmpty()) {
       return false;
     }
-    selector.recordSend(selection.get(), request, constraints, now);
+    choice.recordSend(exchange, selection.get(), now);
     exchange.send(selection.get(), now);
     return true;
   }
 
-  private BackendSelector.Constraints constraints(Exchange exchange) {
-    return constraints(exchange, exchange.model());
-  }
-
-  private BackendSelector.Constraints constraints(Exchange exchange, Optional<String> model) {
-    return constraints(exchange, model, exchange.excludedBackends());
-  }
-
-  private BackendSelector.Constraints constraints(
-      Exchange exchange, Optional<String> model, Set<BackendState> excluded) {
-    VersionRule rule =
-        versionRules.getOrDefault(exchange.request().service(), new VersionRule.Any());
-    boolean failedBefore = !exchange.excludedBackends().isEmpty();
-    return new BackendSelector.Constraints(
-        exchange.service(), model, failedBefore ? rule.forRetry() : rule, excluded, liveInstances);
-  }
-
-  private Optional<ModelChooser.LatencyEstimate> estimate(
-      Exchange exchange, String model, long now) {
-    return selector
-        .select(
-            registry.forService(exchange.request().service()),
-            exchange.request(),
-            constraints(exchange, Optional.of(model)),
-            now)
-        .map(c -> new ModelChooser.LatencyEstimate(c.expectedLatencyMicros(), c.queueWaitMicros()));
-  }
-
   /** Returns the larger model to use instead of forwarding this response, if any. */
   Optional<String> largerModel(Exchange exchange, OptionalInt confidence) {
     if (!exchange.routerSelectsModel() || confidence.isEmpty() || exchange.model().isEmpty()) {
@@ -357,7 +297,7 @@
         exchange.request(),
         exchange.model().get(),
         confidence.getAsInt(),
-        m -> estimate(exchange, m, now),
+        m -> choice.estimate(exchange, m, now),
         now);
   }
 
@@ -402,7 +342,9 @@
     DispatchRequest request = exchange.request();
     Optional<BlockedSegment> block = crashTracker.blockOf(request);
     OptionalLong notBefore =
-        block.isPresent() ? OptionalLong.of(block.get().nextTrialAt()) : opensAt(exchange, now);
+        block.isPresent()
+            ? OptionalLong.of(block.get().nextTrialAt())
+            : choice.opensAt(exchange, now);
     return RetryDelay.seconds(request.deadlineMicros(), notBefore, now);
   }
 
@@ -424,11 +366,11 @@
 
   /** Applies the limit that a response names, or that it names none. */
   void onRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
-    if (backend.setRequestLimit(requestsPerSecond, liveInstances, Clock.micros())) {
+    if (backend.setRequestLimit(requestsPerSecond, choice.liveInstances(), Clock.micros())) {
       EdgeLog.event("backend_limit")
           .addKeyValue("backend", backend.server().id())
           .addKeyValue("per_second", requestsPerSecond.isPresent() ? requestsPerSecond : "none")
-          .addKeyValue("instances", liveInstances)
+          .addKeyValue("instances", choice.liveInstances())
           .log();
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.kumquatplank.core.catalog.RetrySafety;
-import org.kumquatplank.core.catalog.Route;
 import org.kumquatplank.core.catalog.ServiceInfo;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
@@ -107,15 +106,11 @@
     return forwarded.head().routerSelectsModel();
   }
 
-  private Route route() {
-    return request.route();
-  }
-
   void send(BackendSelector.Selection selection, long now) {
     sendCount++;
     queued = false;
     call = BackendCall.open(this, selection, sendTracker, now);
-    boolean nonRepeatable = !route().isRetryable();
+    boolean nonRepeatable = !request.route().isRetryable();
     dispatcher.pool().acquire(selection.backend(), nonRepeatable, call);
   }
 
@@ -142,13 +137,14 @@
    * <p>Takes one retry from the limit if so.
    */
   private boolean takeRetry(boolean hasRun) {
-    boolean allowed = !hasRun || route().isRetryable();
+    boolean allowed = !hasRun || request.route().isRetryable();
     boolean resumable =
         !streaming
-            || (route().retrySafety() == RetrySafety.RESUMABLE && held.events().isResumable());
+            || (request.route().retrySafety() == RetrySafety.RESUMABLE
+                && held.events().isResumable());
     return allowed
         && resumable
-        && sendCount < route().maxAttempts()
+        && sendCount < request.route().maxAttempts()
         && Clock.micros() < request.deadlineMicros()
         && dispatcher.takeRetry(this);
   }
@@ -168,11 +164,13 @@
       onBrokenResponse(from, "a success that no backend server has made");
       return;
     }
-    if (good && route().stream()) {
+    if (good && request.route().stream()) {
       dispatcher.outcomes().onFirstResponse(this, from);
       Optional<String> larger =
           streaming ? Optional.empty() : dispatcher.largerModel(this, response.confidence());
-      if (larger.isPresent() && sendCount < route().maxAttempts() && dispatcher.takeRetry(this)) {
+      if (larger.isPresent()
+          && sendCount < request.route().maxAttempts()
+          && dispatcher.takeRetry(this)) {
         from.cancel();
         dispatcher.outcomes().onEscalated(this, from, response.confidence(), larger.get());
         model = larger;
@@ -212,7 +210,7 @@
   }
 
   boolean isStream(BackendResponseHead response) {
-    return response.isSuccess() && route().stream();
+    return response.isSuccess() && request.route().stream();
   }
 
   private void onStreamBytes(BackendCall from, BackendResponseHead response, ByteBuf bytes) {
@@ -257,7 +255,7 @@
       onNotRun(from, response);
     } else if (!response.isSuccess()) {
       onErrorResponse(from, response);
-    } else if (route().stream()) {
+    } else if (request.route().stream()) {
       onStreamEnd(from, response);
     } else {
       dispatcher.outcomes().onSuccess(this, from, 1);
@@ -284,8 +282,6 @@
     }
     if (takeRetry(false)) {
       retry(from, "refused with " + response.status());
-    } else if (streaming) {
-      abort("no backend server goes on with the stream");
     } else {
       endWithError("backend servers refused it", false);
     }
@@ -293,22 +289,14 @@
 
   private void onErrorResponse(BackendCall from, BackendResponseHead response) {
     dispatcher.outcomes().onFailure(this, from, "status " + response.status());
-    ErrorResponse failure = new ErrorResponse(response, held.buffer().take());
+    held.keepError(new ErrorResponse(response, held.buffer().take()));
     if (takeRetry(true)) {
-      held.keepError(failure);
       retry(from, "failed with " + response.status());
-    } else if (streaming) {
-      abort("the backend server that was to go on failed");
     } else {
-      forwardErrorResponse(failure);
+      endWithError("the backend server failed", false);
     }
   }
 
-  private void forwardErrorResponse(ErrorResponse failure) {
-    finish("failed_at_backend");
-    writer.respond(failure.head().status(), failure.head().forwardedHeaders(), failure.body());
-  }
-
   void onBrokenResponse(BackendCall from, String reason) {
     if (done) {
       return;
@@ -316,8 +304,6 @@
     dispatcher.outcomes().onFailure(this, from, reason);
     if (takeRetry(true)) {
       retry(from, reason);
-    } else if (streaming) {
-      abort(reason);
     } else {
       endWithError(reason, false);
     }
@@ -329,7 +315,7 @@
       return;
     }
     if (now >= request.deadlineMicros()) {
-      onDeadline();
+      endUnfinished("the time is up", true);
     } else if (call != null && !call.hasEnded()) {
       long silentMicros = now - call.lastProgressAt();
       long silenceTimeout = dispatcher.silenceTimeoutMicros(this, call, streaming);
@@ -342,15 +328,10 @@
     }
   }
 
-  private void onDeadline() {
-    cancelCall();
-    endWithError("the time is up", true);
-  }
-
-  /** Ends the exchange before its deadline, with what is known of its sends. */
-  void endUnfinished(String reason) {
+  /** Cancels an open call and ends the exchange with what is known of its sends. */
+  void endUnfinished(String reason, boolean timedOut) {
     cancelCall();
-    endWithError(reason, false);
+    endWithError(reason, timedOut);
   }
 
   private void cancelCall() {
@@ -375,7 +356,9 @@
     }
     Optional<ErrorResponse> kept = held.finalResponse(sendTracker.mayHaveRun());
     if (kept.isPresent()) {
-      forwardErrorResponse(kept.get());
+      BackendResponseHead head = kept.get().head();
+      finish("failed_at_backend");
+      writer.respond(head.status(), head.forwardedHeaders(), kept.get().body());
       return;
     }
     SendTracker.FailureOutcome verdict = sendTracker.failureOutcome(timedOut);
--- a/edge/src/test/java/org/kumquatplank/edge/ServerLimitTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/ServerLimitTest.java
@@ -25,7 +25,7 @@
 
   private Behaviour respondLimited() {
     arrivals.add(millis());
-    return new Behaviour.LimitedAnswer("good", LIMIT);
+    return new Behaviour.AnswerWith("Server-Limit: " + LIMIT + "\r\n", "good");
   }
 
   private int mostInAWindow(long from) {
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -9,7 +9,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -69,9 +68,6 @@
     /** Executes the request and responds. */
     record Answer(int status, String body) implements Behaviour {}
 
-    /** Executes the request and names the requests a second that it takes from all callers. */
-    record LimitedAnswer(String body, double requestsPerSecond) implements Behaviour {}
-
     /**
      * Executes the request and responds with more headers.
      *
@@ -263,29 +259,19 @@
 
   private boolean respond(Socket socket, Received request) throws IOException {
     OutputStream out = socket.getOutputStream();
-    String attemptId = request.header("x-attempt-id");
+    ResponseText text = new ResponseText(id, request.header("x-attempt-id"));
     if (!request.header("x-target-replica").equals(id)) {
-      write(out, misdirected(attemptId, "X-Replica-Id: " + id + "\r\n"));
+      write(out, text.misdirected(true));
       return true;
     }
     switch (behaviour.apply(request)) {
-      case Behaviour.Answer a -> write(out, fullResponse(a.status(), attemptId, a.body()));
-      case Behaviour.LimitedAnswer a ->
-          write(
-              out,
-              withHeaders(
-                  fullResponse(200, attemptId, a.body()),
-                  "Server-Limit: " + a.requestsPerSecond() + "\r\n"));
-      case Behaviour.AnswerWith a ->
-          write(out, withHeaders(fullResponse(200, attemptId, a.body()), a.headers()));
+      case Behaviour.Answer a -> write(out, text.full(a.status(), "", a.body()));
+      case Behaviour.AnswerWith a -> write(out, text.full(200, a.headers(), a.body()));
       case Behaviour.RefuseWith r ->
-          write(
-              out,
-              withHeaders(fullResponse(503, attemptId, ""), "X-Not-Executed: 1\r\n" + r.headers()));
+          write(out, text.full(503, "X-Not-Executed: 1\r\n" + r.headers(), ""));
       case Behaviour.Refuse r ->
           write(out, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-      case Behaviour.Misdirected m ->
-          write(out, misdirected(attemptId, m.namesServer() ? "X-Replica-Id: " + id + "\r\n" : ""));
+      case Behaviour.Misdirected m -> write(out, text.misdirected(m.namesServer()));
       case Behaviour.Reset r -> {
         socket.setSoLinger(true, 0);
         return false;
@@ -298,22 +284,22 @@
         return socket.getInputStream().read() >= 0;
       }
       case Behaviour.AnswerTwice a -> {
-        write(out, fullResponse(200, attemptId, a.body()));
+        write(out, text.full(200, "", a.body()));
         pause(LATE_RESPONSE_MILLIS);
-        write(out, fullResponse(200, "another-request", "not yours"));
+        write(out, new ResponseText(id, "another-request").full(200, "", "not yours"));
       }
-      case Behaviour.StrayBytes s -> write(out, s.stray() + fullResponse(200, attemptId, s.body()));
+      case Behaviour.StrayBytes s -> write(out, s.stray() + text.full(200, "", s.body()));
       case Behaviour.Raw r -> {
         write(out, r.bytes());
         return false;
       }
       case Behaviour.CutOff c -> {
-        String response = fullResponse(200, attemptId, c.body());
+        String response = text.full(200, "", c.body());
         write(out, response.substring(0, response.length() - 2));
         return false;
       }
       case Behaviour.Unframed u -> {
-        write(out, OK_HEAD + identityHeaders(attemptId) + "\r\n" + u.body());
+        write(out, OK_HEAD + text.identity() + "\r\n" + u.body());
         return false;
       }
       case Behaviour.Stream s -> {
@@ -327,19 +313,6 @@
     return true;
   }
 
-  private static String withHeaders(String response, String headers) {
-    int endOfStatus = response.indexOf("\r\n") + 2;
-    return response.substring(0, endOfStatus) + headers + response.substring(endOfStatus);
-  }
-
-  private static String misdirected(String attemptId, String headers) {
-    return "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "
-        + attemptId
-        + "\r\n"
-        + headers
-        + "Content-Length: 0\r\n\r\n";
-  }
-
   private boolean writeStream(OutputStream out, Received request, Behaviour.Stream stream)
       throws IOException {
     String lastEventId = request.header("last-event-id");
@@ -347,7 +320,7 @@
     write(
         out,
         OK_HEAD
-            + identityHeaders(request.header("x-attempt-id"))
+            + new ResponseText(id, request.header("x-attempt-id")).identity()
             + "X-Confidence: "
             + stream.confidence()
             + "\r\n"
@@ -394,26 +367,8 @@
   /** Returns the status line and identity headers of a success, without an end of the head. */
   public static String openHead(Received request) {
     return OK_HEAD
-        + "X-Attempt-Id: "
-        + request.header("x-attempt-id")
-        + "\r\nX-Response-Seal: seal-of-"
-        + request.header("x-target-replica")
-        + "\r\n";
-  }
-
-  private String identityHeaders(String attemptId) {
-    return "X-Attempt-Id: " + attemptId + "\r\nX-Response-Seal: seal-of-" + id + "\r\n";
-  }
-
-  private String fullResponse(int status, String attemptId, String body) {
-    return "HTTP/1.1 "
-        + status
-        + " S\r\n"
-        + identityHeaders(attemptId)
-        + "Content-Length: "
-        + body.length()
-        + "\r\n\r\n"
-        + body;
+        + new ResponseText(request.header("x-target-replica"), request.header("x-attempt-id"))
+            .identity();
   }
 
   private static void write(OutputStream out, String text) throws IOException {
@@ -423,13 +378,10 @@
 
   /** Returns the attempt ids of the received requests that were addressed to this server. */
   public List<String> ran() {
-    List<String> ids = new ArrayList<>();
-    for (Received request : received) {
-      if (request.header("x-target-replica").equals(id)) {
-        ids.add(request.header("x-attempt-id"));
-      }
-    }
-    return ids;
+    return received.stream()
+        .filter(request -> request.header("x-target-replica").equals(id))
+        .map(request -> request.header("x-attempt-id"))
+        .toList();
   }
 
   private void closeSockets() throws IOException {
