--- a/core/src/test/java/org/kumquatplank/core/rollout/RolloutSimulation.java
+++ b/core/src/test/java/org/kumquatplank/core/rollout/RolloutSimulation.java
@@ -47,7 +47,7 @@
   /** One instance; a restart replaces what it knows. */
   private static final class Instance {
     private final String name;
-    private final int rejectedUntil;
+    private final boolean rejectedByStore;
     private int starts;
     private long startedAt;
     private RolloutStateMachine machine;
@@ -59,7 +59,7 @@
 
     Instance(int number, boolean rejectedByStore) {
       name = String.format(Locale.ROOT, "i%03d", number);
-      rejectedUntil = rejectedByStore ? Integer.MAX_VALUE : 0;
+      this.rejectedByStore = rejectedByStore;
       start(0);
     }
 
@@ -169,7 +169,7 @@
       instance.outcomeSince = Optional.of(now);
     }
     Succession succession = Succession.of(instance.name, instance.peers, instance.startedAt);
-    if (!succession.isTurn(instance.outcomeSince.get(), now) || instance.rejectedUntil > 0) {
+    if (!succession.isTurn(instance.outcomeSince.get(), now) || instance.rejectedByStore) {
       return;
     }
     storeReads++;
