Decode regions, cold starts and the resources of an instance

Cause: routes and accounts name allowed regions, services say how cold servers are to be spared, and the settings name memory and descriptors, but the code decoded none of them. Nothing decides by them yet.

--- a/core/src/main/java/org/kumquatplank/core/catalog/BackendServer.java
+++ b/core/src/main/java/org/kumquatplank/core/catalog/BackendServer.java
@@ -14,6 +14,8 @@
  * @param failureDomain failure domain
  * @param softwareVersion version of the server software
  * @param slots maximum number of concurrent requests
+ * @param coldRemainingMillis time for which the server remains cold, as of its registration,
+ *     milliseconds; 0 if it is warm
  * @param draining whether the server is draining and accepts no new requests
  */
 public record BackendServer(
@@ -25,6 +27,7 @@
     String failureDomain,
     String softwareVersion,
     int slots,
+    long coldRemainingMillis,
     boolean draining) {
   /**
    * Compares all components.
@@ -40,6 +43,7 @@
         && failureDomain.equals(other.failureDomain)
         && softwareVersion.equals(other.softwareVersion)
         && slots == other.slots
+        && coldRemainingMillis == other.coldRemainingMillis
         && draining == other.draining;
   }
 
--- a/core/src/main/java/org/kumquatplank/core/catalog/Route.java
+++ b/core/src/main/java/org/kumquatplank/core/catalog/Route.java
@@ -21,6 +21,7 @@
  * @param maxAttempts maximum number of sends of one request
  * @param allowsAnonymous whether a request needs no credential
  * @param usesPrefixAffinity whether prompts share prefixes that a backend server may have cached
+ * @param regions regions in which the requests may be served
  * @param models models that may serve the request, smallest first; empty if the caller names the
  *     model
  */
@@ -38,6 +39,7 @@
     int maxAttempts,
     boolean allowsAnonymous,
     boolean usesPrefixAffinity,
+    RegionRule regions,
     List<String> models) {
 
   /** Copies the lists. */
--- a/core/src/main/java/org/kumquatplank/core/catalog/ServiceInfo.java
+++ b/core/src/main/java/org/kumquatplank/core/catalog/ServiceInfo.java
@@ -1,6 +1,7 @@
 package org.kumquatplank.core.catalog;
 
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Configuration of a service.
@@ -10,9 +11,14 @@
  * @param name unique name
  * @param connectionLimit maximum number of connections that one backend server accepts from all
  *     callers
+ * @param coldStart behaviour of cold backend servers, if they have to be spared
  * @param modelCosts cost of each model per 1,000 generated tokens; empty for a plain service
  */
-public record ServiceInfo(String name, int connectionLimit, Map<String, Double> modelCosts) {
+public record ServiceInfo(
+    String name,
+    int connectionLimit,
+    Optional<ColdStart> coldStart,
+    Map<String, Double> modelCosts) {
   /** Copies the costs. */
   public ServiceInfo {
     modelCosts = Map.copyOf(modelCosts);
--- a/core/src/main/java/org/kumquatplank/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/DispatchRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.Route;
 
 /**
@@ -14,6 +15,7 @@
  * @param service service that runs the request
  * @param account client account, empty if there is none
  * @param priority priority, 0 being the most urgent
+ * @param regions regions in which the request may be served, by its route and client account
  * @param session session that the request belongs to
  * @param promptSegments segments of the prompt in order; the last one belongs to this request alone
  * @param promptTokens tokens of the prompt
@@ -27,6 +29,7 @@
     String service,
     String account,
     int priority,
+    RegionRule regions,
     Optional<String> session,
     List<PromptSegment> promptSegments,
     int promptTokens,
--- a/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.ServiceInfo;
 
 class BackendSelectorTest {
@@ -118,7 +119,18 @@
     DispatchRequest first = Samples.request(Samples.stream(3), "x");
     DispatchRequest request =
         new DispatchRequest(
-            "x", first.route(), "pool", "t", 1, Optional.empty(), segments, 6_500, 100, 0, 1_000);
+            "x",
+            first.route(),
+            "pool",
+            "t",
+            1,
+            new RegionRule.Anywhere(),
+            Optional.empty(),
+            segments,
+            6_500,
+            100,
+            0,
+            1_000);
     BackendSelector.Selection selection = select(request, Samples.ENGINE, 0).orElseThrow();
     selector.recordSend(
         selection,
@@ -139,7 +151,7 @@
     BackendState before = state("s1");
     before.requestStarted(100);
     BackendServer replacement =
-        new BackendServer("s1", 2, "pool", "127.0.0.1", 1, "a", "v1", 6, false);
+        new BackendServer("s1", 2, "pool", "127.0.0.1", 1, "a", "v1", 6, 0, false);
     assertThat(registry.setServers(List.of(replacement))).contains(before);
     assertThat(before.isClosed()).isTrue();
     assertThat(state("s1").inFlightRequests()).isZero();
--- a/core/src/test/java/org/kumquatplank/core/dispatch/LeavingServerModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/LeavingServerModelTest.java
@@ -49,7 +49,8 @@
     for (int i = 0; i < SERVERS; i++) {
       long startedMillis = i == 0 ? firstStartedMillis : 1;
       servers.add(
-          new BackendServer("s" + i, startedMillis, "desk", "127.0.0.1", 1, "a", "v1", 6, false));
+          new BackendServer(
+              "s" + i, startedMillis, "desk", "127.0.0.1", 1, "a", "v1", 6, 0, false));
     }
     return servers;
   }
--- a/core/src/test/java/org/kumquatplank/core/dispatch/Samples.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/Samples.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.RetrySafety;
 import org.kumquatplank.core.catalog.Route;
 import org.kumquatplank.core.catalog.ServiceInfo;
@@ -13,8 +14,8 @@
 public final class Samples {
   public static final long MICROS_PER_MILLI = 1_000;
   public static final ServiceInfo ENGINE =
-      new ServiceInfo("pool", 600, Map.of("small", 0.02, "large", 0.3));
-  public static final ServiceInfo PLAIN = new ServiceInfo("desk", 96, Map.of());
+      new ServiceInfo("pool", 600, Optional.empty(), Map.of("small", 0.02, "large", 0.3));
+  public static final ServiceInfo PLAIN = new ServiceInfo("desk", 96, Optional.empty(), Map.of());
 
   private Samples() {}
 
@@ -34,6 +35,7 @@
         maxAttempts,
         false,
         true,
+        new RegionRule.Anywhere(),
         List.of("small", "middle", "large"));
   }
 
@@ -53,6 +55,7 @@
         2,
         false,
         false,
+        new RegionRule.Anywhere(),
         List.of());
   }
 
@@ -68,6 +71,7 @@
         route.serviceShares().get(0).service(),
         account,
         priority,
+        new RegionRule.Anywhere(),
         Optional.empty(),
         segments,
         route.stream() ? 2_000 : 0,
@@ -81,6 +85,6 @@
   }
 
   public static BackendServer server(String id, String service, String zone, String version) {
-    return new BackendServer(id, 1, service, "127.0.0.1", 1, zone, version, 6, false);
+    return new BackendServer(id, 1, service, "127.0.0.1", 1, zone, version, 6, 0, false);
   }
 }
--- a/core/src/test/java/org/kumquatplank/core/dispatch/SegmentCrashModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/SegmentCrashModelTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.LongRange;
+import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.Route;
 import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
 
@@ -44,7 +45,18 @@
     }
     segments.add(new PromptSegment("own-" + number, 50));
     return new DispatchRequest(
-        "r" + number, ROUTE, "pool", "t", 1, Optional.empty(), segments, 150, 50, 0, END);
+        "r" + number,
+        ROUTE,
+        "pool",
+        "t",
+        1,
+        new RegionRule.Anywhere(),
+        Optional.empty(),
+        segments,
+        150,
+        50,
+        0,
+        END);
   }
 
   private static final class Instance {
--- a/core/src/test/java/org/kumquatplank/core/dispatch/SegmentCrashTrackerTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/SegmentCrashTrackerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Example;
+import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.Route;
 import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
 
@@ -23,7 +24,18 @@
     }
     segments.add(new PromptSegment("own-" + id, 50));
     return new DispatchRequest(
-        id, ROUTE, "pool", "t", 1, Optional.empty(), segments, 150, 50, 0, 60 * SECOND);
+        id,
+        ROUTE,
+        "pool",
+        "t",
+        1,
+        new RegionRule.Anywhere(),
+        Optional.empty(),
+        segments,
+        150,
+        50,
+        0,
+        60 * SECOND);
   }
 
   private void crash(long at, DispatchRequest... lost) {
--- a/core/src/test/java/org/kumquatplank/core/dispatch/VersionRuleTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/VersionRuleTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.RegionRule;
 
 class VersionRuleTest {
   private static final BackendServer OLD = Samples.server("o", "pool", "a", "v1");
@@ -36,6 +37,7 @@
             "pool",
             "t",
             1,
+            new RegionRule.Anywhere(),
             Optional.of("s"),
             withoutSession.promptSegments(),
             1,
--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -129,7 +129,10 @@
     ServiceInfo service =
         catalog
             .service(request.service())
-            .orElseGet(() -> new ServiceInfo(request.service(), Integer.MAX_VALUE, Map.of()));
+            .orElseGet(
+                () ->
+                    new ServiceInfo(
+                        request.service(), Integer.MAX_VALUE, Optional.empty(), Map.of()));
     Exchange exchange =
         new Exchange(
             dispatcher,
@@ -154,6 +157,7 @@
         route.serviceFor(id),
         credential.map(CredentialOwner::account).orElse(""),
         route.priorityFor(accountPriority),
+        credential.map(o -> route.regions().and(o.regions())).orElse(route.regions()),
         head.session(),
         head.promptSegments(),
         head.promptTokens(),
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -59,7 +59,8 @@
             freeAddress().getPort(),
             List.of(),
             store.address(),
-            new EdgeSettings.Limits(0.9, 50, 10_000, graceMillis, 5, 3_000));
+            new EdgeSettings.Limits(0.9, 50, 10_000, graceMillis, 5, 3_000, 1, 0),
+            EdgeSettings.Resources.UNLIMITED);
     dataPlane = new DataPlane(settings, trafficLoop);
   }
 
