Serve requests only in their regions, and nothing in evacuated failure domains

Cause: regions of routes and client accounts were decoded and bound nothing, and orders to evacuate a failure domain were ignored; the address list named other regions beside the only instance of the caller's own. Change: core.placement decides; the selection, its estimates, the preferred server of a prefix and the time at which servers open ask it, so that first sends, retries, resumed streams, larger models and trials are covered. Regions are those of the configuration in force, also for requests that wait. A request whose last server is forbidden is turned away at once, and the log says by which rule. A request is not written to a connection that was opened while its failure domain was evacuated. A failure domain that is taken back is used again over a second, one request at a time at first. Orders are followed by their key, and a listing that lacks one ends it. A version whose servers are all evacuated is neither completed nor given a share. Other regions are named to callers only if their own has no instance.

--- a/core/src/main/java/org/kumquatplank/core/catalog/Catalog.java
+++ b/core/src/main/java/org/kumquatplank/core/catalog/Catalog.java
@@ -19,6 +19,8 @@
   private final Map<String, ServiceInfo> services;
   private final Optional<Map<String, CredentialOwner>> accountsByCredential;
   private final CallerLimits limits;
+  private final Map<String, RegionRule> regionsByRoute = new HashMap<>();
+  private final Map<String, RegionRule> regionsByAccount = new HashMap<>();
 
   private Catalog(
       long version,
@@ -31,6 +33,13 @@
     this.services = services;
     this.accountsByCredential = accountsByCredential;
     this.limits = limits;
+    for (List<Route> routes : routesByHost.values()) {
+      routes.forEach(r -> regionsByRoute.merge(r.name(), r.regions(), RegionRule::and));
+    }
+    accountsByCredential
+        .map(Map::values)
+        .orElse(List.of())
+        .forEach(o -> regionsByAccount.merge(o.account(), o.regions(), RegionRule::and));
   }
 
   /**
@@ -85,6 +94,22 @@
     return accountsByCredential.map(owners -> owners.get(credential));
   }
 
+  /**
+   * Returns the rule for the regions of requests of a client account on a route; both bind.
+   *
+   * @param routeName name of the route
+   * @param account client account, empty if there is none
+   * @return the rule, or nothing if the route or the account is no longer configured
+   */
+  public Optional<RegionRule> regions(String routeName, String account) {
+    RegionRule ofRoute = regionsByRoute.get(routeName);
+    RegionRule ofAccount =
+        account.isEmpty() ? new RegionRule.Anywhere() : regionsByAccount.get(account);
+    return ofRoute == null || ofAccount == null
+        ? Optional.empty()
+        : Optional.of(ofRoute.and(ofAccount));
+  }
+
   /** Returns the limits for requests of callers. */
   public CallerLimits limits() {
     return limits;
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
@@ -61,6 +61,19 @@
     return byId.values();
   }
 
+  /** Returns the load of this instance per backend server that it uses or suspects. */
+  public List<PeerLoad> ownLoads(long now) {
+    List<PeerLoad> loads = new ArrayList<>();
+    for (BackendState b : byId.values()) {
+      boolean suspect = b.isLocallySuspect(now);
+      if (b.inFlightRequests() > 0 || suspect) {
+        loads.add(
+            new PeerLoad(b.server().id(), b.inFlightRequests(), b.pendingPrefillTokens(), suspect));
+      }
+    }
+    return loads;
+  }
+
   /** Returns the listed processes that said that they leave. */
   public List<LeavingServer> leaving() {
     return byId.values().stream()
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -1,10 +1,14 @@
 package org.kumquatplank.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.ServiceInfo;
+import org.kumquatplank.core.placement.Placement;
+import org.kumquatplank.core.placement.PlacementRules;
 
 /**
  * Selects the backend server with the lowest expected latency for a request.
@@ -74,6 +78,7 @@
    * @param service service that runs the request
    * @param model model to run, or nothing for a plain service
    * @param rule software versions that may get the request
+   * @param placement failure domains whose servers may get the request
    * @param excluded backend servers that may not get the request
    * @param instanceCount number of live instances, which share the connection limit
    */
@@ -81,6 +86,7 @@
       ServiceInfo service,
       Optional<String> model,
       VersionRule rule,
+      Placement placement,
       Collection<BackendState> excluded,
       int instanceCount) {}
 
@@ -127,8 +133,28 @@
         .findAny();
   }
 
+  /**
+   * Returns why no backend server may run the request, if its placement is the reason: servers that
+   * are up and of a permitted version are all where it may not be served.
+   */
+  public Optional<PlacementRules.Refusal> placementRefusal(
+      List<BackendState> servers, DispatchRequest request, Constraints constraints) {
+    List<BackendServer> usable = new ArrayList<>();
+    for (BackendState state : servers) {
+      if (isUsable(state, request, constraints)) {
+        usable.add(state.server());
+      }
+    }
+    return constraints.placement().refusal(usable);
+  }
+
   private static boolean isEligible(
       BackendState state, DispatchRequest request, Constraints constraints) {
+    return isUsable(state, request, constraints) && constraints.placement().permits(state.server());
+  }
+
+  private static boolean isUsable(
+      BackendState state, DispatchRequest request, Constraints constraints) {
     return !state.isClosed()
         && !constraints.excluded().contains(state)
         && constraints.rule().permits(state.server(), request);
@@ -175,7 +201,7 @@
           state, latencyMicros, PLAIN_REQUEST_MICROS * slowdown * queuedPerSlot, 0);
     }
     String model = constraints.model().orElse("");
-    int tokens = prefillTokens(state, servers, request, model, now);
+    int tokens = prefillTokens(state, servers, request, constraints, now);
     double microsPerToken = prefillRate.microsPerToken(model) * slowdown;
     double pendingPrefillMicros = state.totalPendingPrefillTokens(now) * microsPerToken;
     double prefillMicros = tokens * microsPerToken;
@@ -201,30 +227,32 @@
       BackendState state,
       List<BackendState> servers,
       DispatchRequest request,
-      String model,
+      Constraints constraints,
       long now) {
     if (request.lastSharedSegment().isEmpty()) {
       return request.promptTokens();
     }
     String prefixId = request.lastSharedSegment().get().id();
     String id = state.server().id();
-    if (prefixCache.isCached(id, model, prefixId, now)) {
+    if (prefixCache.isCached(id, constraints.model().orElse(""), prefixId, now)) {
       return unsharedTokens(request);
     }
-    boolean isPreferred = preferredServer(servers, prefixId).map(id::equals).orElse(false);
+    boolean isPreferred =
+        preferredServer(servers, prefixId, constraints.placement()).map(id::equals).orElse(false);
     return isPreferred
         ? (int) (unsharedTokens(request) + (1 - PREFERRED_HIT_RATIO) * request.sharedPrefixTokens())
         : request.promptTokens();
   }
 
   /** Returns the id of the server that all instances of this region prefer for a prefix. */
-  private Optional<String> preferredServer(List<BackendState> servers, String prefixId) {
+  private Optional<String> preferredServer(
+      List<BackendState> servers, String prefixId, Placement placement) {
     String best = null;
     long bestWeight = Long.MIN_VALUE;
     for (BackendState state : servers) {
       boolean inRegion =
           locality.distanceTo(state.server().failureDomain()) != Locality.Distance.OTHER_REGION;
-      if (state.isClosed() || !inRegion) {
+      if (state.isClosed() || !inRegion || !placement.permits(state.server())) {
         continue;
       }
       long weight = weight(state.server().id(), prefixId);
--- a/core/src/test/java/org/kumquatplank/core/dispatch/BackOffModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/BackOffModelTest.java
@@ -68,7 +68,7 @@
 
     private static BackendSelector.Constraints constraints() {
       return new BackendSelector.Constraints(
-          Samples.PLAIN, Optional.empty(), new VersionRule.Any(), Set.of(), 1);
+          Samples.PLAIN, Optional.empty(), new VersionRule.Any(), Samples.ANYWHERE, Set.of(), 1);
     }
   }
 
--- a/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
@@ -12,6 +12,8 @@
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.ServiceInfo;
+import org.kumquatplank.core.placement.Placement;
+import org.kumquatplank.core.placement.PlacementRules;
 
 class BackendSelectorTest {
   private static final Locality LOCALITY =
@@ -29,7 +31,7 @@
       DispatchRequest request, ServiceInfo service, long now) {
     BackendSelector.Constraints constraints =
         new BackendSelector.Constraints(
-            service, Optional.of("large"), new VersionRule.Any(), Set.of(), 1);
+            service, Optional.of("large"), new VersionRule.Any(), Samples.ANYWHERE, Set.of(), 1);
     return selector.select(registry.forService("pool"), request, constraints, now);
   }
 
@@ -136,7 +138,12 @@
         selection,
         request,
         new BackendSelector.Constraints(
-            Samples.ENGINE, Optional.of("large"), new VersionRule.Any(), Set.of(), 1),
+            Samples.ENGINE,
+            Optional.of("large"),
+            new VersionRule.Any(),
+            Samples.ANYWHERE,
+            Set.of(),
+            1),
         0);
     for (int i = 1; i < 5; i++) {
       BackendSelector.Selection repeated = select(request, Samples.ENGINE, i).orElseThrow();
@@ -156,4 +163,69 @@
     assertThat(before.isClosed()).isTrue();
     assertThat(state("s1").inFlightRequests()).isZero();
   }
+
+  private BackendSelector.Constraints constraints(Placement placement) {
+    return new BackendSelector.Constraints(
+        Samples.ENGINE, Optional.of("large"), new VersionRule.Any(), placement, Set.of(), 1);
+  }
+
+  /** A full or closed server of its own region sends no request out of its regions. */
+  @Example
+  void testRequestStaysInItsRegionsAlsoIfTheyAreFull() {
+    registry.setServers(SERVERS);
+    PlacementRules rules = PlacementRules.of(Map.of("a", "r", "b", "r", "c", "far"));
+    Placement near = rules.within(RegionRule.of(List.of("r")));
+    DispatchRequest request = Samples.request(Samples.stream(3), "x");
+    for (int i = 0; i < 6; i++) {
+      state("s1").requestStarted(0);
+      state("s2").requestStarted(0);
+    }
+    List<BackendState> servers = registry.forService("pool");
+    assertThat(selector.select(servers, request, constraints(near), 0)).isEmpty();
+    assertThat(selector.isServable(servers, request, constraints(near))).isTrue();
+    Placement far = rules.within(RegionRule.of(List.of("far")));
+    assertThat(idOf(selector.select(servers, request, constraints(far), 0))).isEqualTo("s3");
+    Placement none = rules.within(new RegionRule.Only(Set.of()));
+    assertThat(selector.isServable(servers, request, constraints(none))).isFalse();
+    assertThat(selector.placementRefusal(servers, request, constraints(none)))
+        .contains(PlacementRules.Refusal.REGION);
+  }
+
+  @Example
+  void testEvacuatedServerIsNeitherSelectedNorAwaited() {
+    registry.setServers(SERVERS);
+    PlacementRules rules = PlacementRules.of(Map.of("a", "r", "b", "r", "c", "far"));
+    Placement placement = rules.withEvacuated(Set.of("a")).within(new RegionRule.Anywhere());
+    DispatchRequest request = Samples.request(Samples.stream(3), "x");
+    List<BackendState> servers = registry.forService("pool");
+    state("s3").backOff(700, 0);
+    assertThat(selector.select(servers, request, constraints(placement), 0)).isEmpty();
+    assertThat(selector.opensAt(servers, request, constraints(placement), 0)).hasValue(700);
+    Placement all = rules.withEvacuated(Set.of("a", "c")).within(new RegionRule.Anywhere());
+    assertThat(selector.isServable(servers, request, constraints(all))).isFalse();
+    assertThat(selector.placementRefusal(servers, request, constraints(all)))
+        .contains(PlacementRules.Refusal.EVACUATED);
+  }
+
+  /** Else a prefix that prefers an evacuated server would have no preferred one at all. */
+  @Example
+  void testPrefixPrefersAServerThatIsPermitted() {
+    registry.setServers(SERVERS);
+    List<BackendState> servers = registry.forService("pool");
+    PlacementRules rules = PlacementRules.of(Map.of("a", "r", "b", "r", "c", "far"));
+    DispatchRequest request = Samples.request(Samples.stream(3), "x");
+    String preferred = idOf(selector.select(servers, request, constraints(Samples.ANYWHERE), 0));
+    BackendServer moved = Samples.server(preferred, "pool", "b", "v1");
+    List<BackendServer> withMoved = new ArrayList<>(SERVERS);
+    withMoved.removeIf(s -> s.id().equals(preferred));
+    withMoved.add(moved);
+    registry.setServers(withMoved);
+    Placement placement = rules.withEvacuated(Set.of("b")).within(new RegionRule.Anywhere());
+    BackendSelector.Selection selection =
+        selector
+            .select(registry.forService("pool"), request, constraints(placement), 0)
+            .orElseThrow();
+    assertThat(selection.backend().server().id()).isNotEqualTo(preferred);
+    assertThat(selection.prefillTokens()).isEqualTo(1_700);
+  }
 }
--- a/core/src/test/java/org/kumquatplank/core/dispatch/LeavingServerModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/LeavingServerModelTest.java
@@ -37,7 +37,12 @@
       DispatchRequest request = Samples.request(Samples.safe(), id);
       BackendSelector.Constraints constraints =
           new BackendSelector.Constraints(
-              Samples.PLAIN, Optional.empty(), new VersionRule.Any(), Set.of(), 1);
+              Samples.PLAIN,
+              Optional.empty(),
+              new VersionRule.Any(),
+              Samples.ANYWHERE,
+              Set.of(),
+              1);
       return selector
           .select(registry.forService("desk"), request, constraints, now)
           .map(BackendSelector.Selection::backend);
--- a/core/src/test/java/org/kumquatplank/core/dispatch/Samples.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/Samples.java
@@ -9,6 +9,8 @@
 import org.kumquatplank.core.catalog.Route;
 import org.kumquatplank.core.catalog.ServiceInfo;
 import org.kumquatplank.core.catalog.ServiceShare;
+import org.kumquatplank.core.placement.Placement;
+import org.kumquatplank.core.placement.PlacementRules;
 
 /** Sample routes, requests and servers for the tests of this package. */
 public final class Samples {
@@ -17,6 +19,9 @@
       new ServiceInfo("pool", 600, Optional.empty(), Map.of("small", 0.02, "large", 0.3));
   public static final ServiceInfo PLAIN = new ServiceInfo("desk", 96, Optional.empty(), Map.of());
 
+  public static final Placement ANYWHERE =
+      PlacementRules.of(Map.of()).within(new RegionRule.Anywhere());
+
   private Samples() {}
 
   /** Returns a resumable streaming route of an engine. */
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -90,6 +90,12 @@
     if (ended) {
       return;
     }
+    if (!exchange.dispatcher().permits(exchange, selection.backend())) {
+      finish();
+      newConnection.channel().close();
+      exchange.onNotSent();
+      return;
+    }
     connection = newConnection;
     sentAt = Clock.micros();
     lastProgressAt = sentAt;
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -3,28 +3,46 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
+import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.placement.EvacuationReturn;
+import org.kumquatplank.core.placement.Placement;
+import org.kumquatplank.core.placement.PlacementRules;
 
 /**
- * The choice of a backend server for an exchange, under the rules of the roll-outs.
+ * The choice of a backend server for an exchange, under the rules of the roll-outs and of the
+ * placement.
  *
  * <p>Confined to the traffic thread.
  */
 final class BackendChoice {
+  /** Confidence, 0 to 100, that a model states for its response; below it a larger one is used. */
+  private static final int MIN_CONFIDENCE = 60;
+
+  private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
   private final BackendRegistry registry;
   private final BackendSelector selector;
+  private final ConfirmedCatalog catalog;
+  private PlacementRules placementRules;
   private Map<String, VersionRule> versionRules = Map.of();
   private int liveInstances = 1;
 
-  BackendChoice(BackendRegistry registry, BackendSelector selector) {
+  BackendChoice(
+      BackendRegistry registry,
+      BackendSelector selector,
+      ConfirmedCatalog catalog,
+      PlacementRules placementRules) {
     this.registry = registry;
     this.selector = selector;
+    this.catalog = catalog;
+    this.placementRules = placementRules;
   }
 
   BackendSelector selector() {
@@ -35,6 +53,42 @@
     versionRules = newRules;
   }
 
+  /** Sets the evacuated failure domains; servers of the others that were evacuated come back. */
+  void setEvacuated(Set<String> failureDomains, long now) {
+    PlacementRules before = placementRules;
+    placementRules = before.withEvacuated(failureDomains);
+    for (BackendState state : registry.all()) {
+      if (before.isEvacuated(state.server()) && !isEvacuated(state)) {
+        state.backOff(EvacuationReturn.usableAt(Math.random(), now), now);
+      }
+    }
+  }
+
+  /** Returns whether the failure domain of a backend server is evacuated. */
+  boolean isEvacuated(BackendState state) {
+    return placementRules.isEvacuated(state.server());
+  }
+
+  /** Returns whether the request may still be sent to a backend server that was selected. */
+  boolean permits(Exchange exchange, BackendState state) {
+    return placement(exchange).permits(state.server());
+  }
+
+  /** Returns why no backend server may run the request, if its placement is the reason. */
+  Optional<PlacementRules.Refusal> placementRefusal(Exchange exchange) {
+    return selector.placementRefusal(servers(exchange), exchange.request(), constraints(exchange));
+  }
+
+  /** Regions are those of the configuration in force, as the request may have waited. */
+  private Placement placement(Exchange exchange) {
+    DispatchRequest request = exchange.request();
+    return placementRules.within(
+        catalog
+            .catalog()
+            .flatMap(c -> c.regions(request.route().name(), request.account()))
+            .orElse(request.regions()));
+  }
+
   void setLiveInstances(int live) {
     liveInstances = live;
   }
@@ -45,6 +99,9 @@
 
   /** Returns the best backend server that takes the request now. */
   Optional<BackendSelector.Selection> select(Exchange exchange, long now) {
+    if (exchange.model().isEmpty() && exchange.routerSelectsModel()) {
+      exchange.setModel(modelChooser.firstModel(exchange.request()));
+    }
     return select(exchange, exchange.model(), now);
   }
 
@@ -76,8 +133,22 @@
     return selector.opensAt(servers(exchange), exchange.request(), all, now);
   }
 
+  /** Returns the larger model to use instead of forwarding a response, if any. */
+  Optional<String> largerModel(Exchange exchange, OptionalInt confidence, long now) {
+    if (!exchange.routerSelectsModel() || confidence.isEmpty() || exchange.model().isEmpty()) {
+      return Optional.empty();
+    }
+    return modelChooser.escalationModel(
+        exchange.request(),
+        exchange.model().get(),
+        confidence.getAsInt(),
+        m -> estimate(exchange, m, now),
+        now);
+  }
+
   /** Returns the time that the request would take with another model. */
-  Optional<ModelChooser.LatencyEstimate> estimate(Exchange exchange, String model, long now) {
+  private Optional<ModelChooser.LatencyEstimate> estimate(
+      Exchange exchange, String model, long now) {
     return select(exchange, Optional.of(model), now)
         .map(c -> new ModelChooser.LatencyEstimate(c.expectedLatencyMicros(), c.queueWaitMicros()));
   }
@@ -96,6 +167,11 @@
         versionRules.getOrDefault(exchange.request().service(), new VersionRule.Any());
     boolean failedBefore = !exchange.excludedBackends().isEmpty();
     return new BackendSelector.Constraints(
-        exchange.service(), model, failedBefore ? rule.forRetry() : rule, excluded, liveInstances);
+        exchange.service(),
+        model,
+        failedBefore ? rule.forRetry() : rule,
+        placement(exchange),
+        excluded,
+        liveInstances);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/CallOutcomes.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallOutcomes.java
@@ -1,8 +1,10 @@
 package org.kumquatplank.edge;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
+import org.kumquatplank.core.placement.PlacementRules;
 import org.kumquatplank.platform.wire.BackendResponseHead;
 
 /**
@@ -33,6 +35,24 @@
     }
   }
 
+  /** Ends an exchange that no backend server may run, and names the rule that refuses it. */
+  void endUnservable(Exchange exchange, Optional<PlacementRules.Refusal> refusal) {
+    if (refusal.isEmpty()) {
+      exchange.endWithError("no backend server may run it", false);
+      return;
+    }
+    switch (refusal.get()) {
+      case REGION -> {
+        metrics.count("refused_by_region");
+        exchange.endWithError("no backend server in its regions", false);
+      }
+      case EVACUATED -> {
+        metrics.count("refused_by_evacuation");
+        exchange.endWithError("the failure domains of its backend servers are evacuated", false);
+      }
+    }
+  }
+
   void onFirstResponse(Exchange exchange, BackendCall call) {
     if (call.hadNoPrefillAhead()) {
       long micros = Clock.micros() - call.sentAt();
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -66,6 +66,7 @@
   private final StoreClient store;
   private final ServerList servers = ServerList.create();
   private final RolloutManager rollouts;
+  private final EvacuationManager evacuations = new EvacuationManager();
   private final PeerDirectory directory;
   private final StoreFollower operatorRecords;
   private final StoreFollower serverRecords;
@@ -151,19 +152,23 @@
     trafficReport = newReport;
   }
 
-  /** Handles the operator's records: the configuration and roll-out orders. */
+  /** Handles the operator's records: the configuration, roll-out orders and evacuations. */
   private final class OperatorRecords implements StoreFollower.Listener {
     private final TopicUpdates updates = new TopicUpdates(settings.instance(), OPERATOR_TOPIC);
 
     @Override
     public void onSnapshot(List<StoreRecord> records) {
+      evacuations.onSnapshot(records, operatorRecords.status().lastSource());
       onChanges(records);
     }
 
     @Override
     public List<StoreRecord> onChanges(List<StoreRecord> records) {
       records.forEach(r -> StoreFollower.applyOrLog(r, ControlPlane.this::onOperatorRecord));
+      Optional<Set<String>> evacuated = evacuations.takeChange();
+      evacuated.ifPresent(rollouts::setEvacuated);
       publishVersionRules();
+      evacuated.ifPresent(dataPlane::setEvacuated);
       return records;
     }
 
@@ -183,7 +188,8 @@
   }
 
   private void onOperatorRecord(StoreRecord record) {
-    if (record.value().isEmpty()) {
+    boolean isEvacuation = evacuations.onRecord(record, operatorRecords.status().lastSource());
+    if (isEvacuation || record.value().isEmpty()) {
       return;
     }
     byte[] value = record.value().get();
@@ -354,7 +360,10 @@
     rollouts.onEvidence(trafficReport.evidence());
     List<PeerDirectory.Peer> live = directory.live(now);
     List<EdgeDigest> ready =
-        live.stream().map(PeerDirectory.Peer::digest).filter(EdgeDigest::getReady).toList();
+        live.stream()
+            .map(PeerDirectory.Peer::digest)
+            .filter(d -> d.getReady() && !d.getLeaving())
+            .toList();
     Succession succession =
         Succession.of(
             settings.instance(), ready.stream().map(EdgeDigest::getInstance).toList(), startedAt);
--- a/edge/src/main/java/org/kumquatplank/edge/CrashDetector.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CrashDetector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.dispatch.CrashEvidence;
@@ -25,14 +26,20 @@
   private final BackendPool pool;
   private final SegmentCrashTracker tracker;
   private final EdgeMetrics metrics;
+  private final Predicate<BackendState> isEvacuated;
   private final Map<BackendState, Loss> losses = new HashMap<>();
   private Set<String> reportedBlocks = Set.of();
   private boolean sendsTrials;
 
-  CrashDetector(BackendPool pool, SegmentCrashTracker tracker, EdgeMetrics metrics) {
+  CrashDetector(
+      BackendPool pool,
+      SegmentCrashTracker tracker,
+      EdgeMetrics metrics,
+      Predicate<BackendState> isEvacuated) {
     this.pool = pool;
     this.tracker = tracker;
     this.metrics = metrics;
+    this.isEvacuated = isEvacuated;
   }
 
   /**
@@ -81,7 +88,8 @@
    * @param responseEnded whether the end of the connection ends the response
    */
   void onConnectionLost(BackendState backend, DispatchRequest request, boolean responseEnded) {
-    if (request.sharedSegments().isEmpty() || backend.isClosed()) {
+    // Nothing is sent to an evacuated failure domain, not even a probe.
+    if (request.sharedSegments().isEmpty() || backend.isClosed() || isEvacuated.test(backend)) {
       return;
     }
     Loss known = losses.get(backend);
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -153,13 +154,17 @@
   }
 
   void setCatalog(Catalog catalog) {
-    loop.execute(() -> dispatcher.catalog().set(catalog));
+    loop.execute(() -> dispatcher.setCatalog(catalog));
   }
 
   void setServers(List<BackendServer> servers) {
     loop.execute(() -> dispatcher.setServers(servers));
   }
 
+  void setEvacuated(Set<String> failureDomains) {
+    loop.execute(() -> dispatcher.setEvacuated(failureDomains));
+  }
+
   /** Merges what a peer knows of crashes of backend servers. */
   void mergeCrashEvidence(CrashEvidence evidence) {
     loop.execute(() -> dispatcher.crashDetector().merge(evidence));
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.kumquatplank.edge;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -12,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
@@ -20,13 +20,13 @@
 import org.kumquatplank.core.dispatch.DrainSchedule;
 import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.Locality;
-import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.PrefillRate;
 import org.kumquatplank.core.dispatch.SegmentCrashTracker;
 import org.kumquatplank.core.dispatch.SilenceTimeout;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.dispatch.WaitQueue;
+import org.kumquatplank.core.placement.PlacementRules;
 import org.kumquatplank.core.rollout.VersionStats;
 import org.kumquatplank.platform.wire.EdgeSettings;
 
@@ -40,9 +40,6 @@
 
   private static final String LEAVING = "this instance is leaving";
 
-  /** Confidence, 0 to 100, that a model states for its response; below it a larger one is used. */
-  private static final int MIN_CONFIDENCE = 60;
-
   /** Fraction of its remaining time that a request may spend in the queue. */
   private static final double MAX_QUEUE_WAIT_RATIO = 0.5;
 
@@ -53,7 +50,6 @@
   private final BackendChoice choice;
   private final SegmentCrashTracker crashTracker = SegmentCrashTracker.create();
   private final CrashDetector crashDetector;
-  private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
   private final CallOutcomes outcomes;
   private final RetryLimits retryLimits;
   private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
@@ -67,12 +63,14 @@
     this.pool = pool;
     this.metrics = metrics;
     this.catalog = ConfirmedCatalog.create(settings.limits().configPropagationMillis());
-    this.crashDetector = new CrashDetector(pool, crashTracker, metrics);
     this.choice =
         new BackendChoice(
             registry,
             BackendSelector.create(
-                new Locality(settings.zone(), settings.regions()), new PrefillRate()));
+                new Locality(settings.zone(), settings.regions()), new PrefillRate()),
+            catalog,
+            PlacementRules.of(settings.regions()));
+    this.crashDetector = new CrashDetector(pool, crashTracker, metrics, choice::isEvacuated);
     this.retryLimits = new RetryLimits(settings.limits(), metrics);
     this.outcomes = new CallOutcomes(pool, choice.selector(), metrics);
   }
@@ -80,9 +78,38 @@
   void setServers(Collection<BackendServer> servers) {
     serversKnown = true;
     registry.setServers(servers);
+    onPlacementChanged();
+  }
+
+  void setCatalog(Catalog newCatalog) {
+    catalog.set(newCatalog);
+    onPlacementChanged();
+  }
+
+  /** Sends nothing more to these failure domains, and uses the others. */
+  void setEvacuated(Set<String> failureDomains) {
+    metrics.gauge("evacuated_domains", failureDomains.size());
+    choice.setEvacuated(failureDomains, Clock.micros());
+    onPlacementChanged();
+  }
+
+  /** Rejects queued requests that may no longer be sent anywhere, and starts those that may. */
+  private void onPlacementChanged() {
+    List.copyOf(exchanges).stream()
+        .filter(e -> e.isQueued() && choice.placementRefusal(e).isPresent())
+        .forEach(this::rejectUnservable);
     dispatchQueued();
   }
 
+  private void rejectUnservable(Exchange exchange) {
+    outcomes.endUnservable(exchange, choice.placementRefusal(exchange));
+  }
+
+  /** Returns whether a request may still be sent to the backend server that was selected. */
+  boolean permits(Exchange exchange, BackendState backend) {
+    return choice.permits(exchange, backend);
+  }
+
   void setVersionRules(Map<String, VersionRule> newRules) {
     choice.setVersionRules(newRules);
     outcomes.versionCounts().setRules(newRules);
@@ -136,16 +163,7 @@
 
   /** Returns the load of this instance per backend server that it uses or suspects. */
   List<PeerLoad> ownLoads() {
-    long now = Clock.micros();
-    List<PeerLoad> loads = new ArrayList<>();
-    for (BackendState b : registry.all()) {
-      boolean suspect = b.isLocallySuspect(now);
-      if (b.inFlightRequests() > 0 || suspect) {
-        loads.add(
-            new PeerLoad(b.server().id(), b.inFlightRequests(), b.pendingPrefillTokens(), suspect));
-      }
-    }
-    return loads;
+    return registry.ownLoads(Clock.micros());
   }
 
   /** Sets the action to run when a request arrives and no exchange is open. */
@@ -197,7 +215,7 @@
       return;
     }
     if (!choice.isServable(exchange)) {
-      exchange.endWithError("no backend server may run it", false);
+      rejectUnservable(exchange);
       return;
     }
     if (opensTooLate(exchange, now)) {
@@ -274,10 +292,6 @@
   }
 
   private boolean tryDispatch(Exchange exchange, long now) {
-    DispatchRequest request = exchange.request();
-    if (exchange.model().isEmpty() && exchange.routerSelectsModel()) {
-      exchange.setModel(modelChooser.firstModel(request));
-    }
     Optional<BackendSelector.Selection> selection = choice.select(exchange, now);
     if (selection.isEmpty()) {
       return false;
@@ -289,16 +303,7 @@
 
   /** Returns the larger model to use instead of forwarding this response, if any. */
   Optional<String> largerModel(Exchange exchange, OptionalInt confidence) {
-    if (!exchange.routerSelectsModel() || confidence.isEmpty() || exchange.model().isEmpty()) {
-      return Optional.empty();
-    }
-    long now = Clock.micros();
-    return modelChooser.escalationModel(
-        exchange.request(),
-        exchange.model().get(),
-        confidence.getAsInt(),
-        m -> choice.estimate(exchange, m, now),
-        now);
+    return choice.largerModel(exchange, confidence, Clock.micros());
   }
 
   private void dispatchQueued() {
--- a/edge/src/main/java/org/kumquatplank/edge/EntryAddresses.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EntryAddresses.java
@@ -5,7 +5,12 @@
 import java.util.function.Predicate;
 
 /**
- * Selects the instance addresses for a caller: the nearest ones, and more than one if possible.
+ * Selects the instance addresses for a caller: the nearest ones, and more than one if its region
+ * has as many.
+ *
+ * <p>Answers callers whose requests are bound to regions: an instance of another region is named
+ * only when none of the caller's own region is ready, as the directory does not know the account
+ * and so which other regions the request may enter.
  *
  * <p>Not thread-safe.
  */
@@ -35,7 +40,7 @@
     if (selected.size() < MIN_ADDRESSES) {
       addMissing(selected, i -> i.region().equals(region));
     }
-    if (selected.size() < MIN_ADDRESSES) {
+    if (selected.isEmpty()) {
       addMissing(selected, i -> true);
     }
     return selected.subList(0, Math.min(MAX_ADDRESSES, selected.size()));
--- /dev/null
+++ b/edge/src/main/java/org/kumquatplank/edge/EvacuationManager.java
@@ -0,0 +1,61 @@
+package org.kumquatplank.edge;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.kumquatplank.core.placement.EvacuationList;
+import org.kumquatplank.platform.store.StoreRecord;
+import org.kumquatplank.platform.wire.CatalogDecoder;
+
+/**
+ * Follows the operator's orders to evacuate failure domains and to take them back.
+ *
+ * <p>The key of a record is the order; its value is not read. Confined to the control thread.
+ */
+final class EvacuationManager {
+  private final EvacuationList list = EvacuationList.create();
+  private boolean changed;
+
+  /** Handles a complete listing: a failure domain that it lacks is taken back. */
+  void onSnapshot(List<StoreRecord> records, String source) {
+    List<String> listed = new ArrayList<>();
+    for (StoreRecord record : records) {
+      CatalogDecoder.evacuatedFailureDomain(record.key()).ifPresent(listed::add);
+    }
+    list.endUnlisted(listed).forEach(domain -> onChange("evacuation_ended", domain, -1, source));
+  }
+
+  /** Handles a record; returns whether it is about an evacuation. */
+  boolean onRecord(StoreRecord record, String source) {
+    Optional<String> domain = CatalogDecoder.evacuatedFailureDomain(record.key());
+    if (domain.isEmpty()) {
+      return false;
+    }
+    boolean begins = record.value().isPresent();
+    boolean isChange = begins ? list.begin(domain.get()) : list.end(domain.get());
+    if (isChange) {
+      String event = begins ? "evacuation_begun" : "evacuation_ended";
+      onChange(event, domain.get(), record.offset(), source);
+    }
+    return true;
+  }
+
+  private void onChange(String event, String domain, long offset, String source) {
+    changed = true;
+    EdgeLog.event(event)
+        .addKeyValue("failure_domain", domain)
+        .addKeyValue("offset", offset)
+        .addKeyValue("source", source)
+        .log();
+  }
+
+  /** Returns the evacuated failure domains if they changed since the last call. */
+  Optional<Set<String>> takeChange() {
+    if (!changed) {
+      return Optional.empty();
+    }
+    changed = false;
+    return Optional.of(list.evacuated());
+  }
+}
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -115,8 +115,8 @@
   }
 
   Object backendRequest(BackendCall forCall) {
-    String backendId = forCall.selection().backend().server().id();
-    return forwarded.encode(backendId, model, held.events().lastId());
+    BackendState backend = forCall.selection().backend();
+    return forwarded.encode(backend.server().id(), model, held.events().lastId());
   }
 
   void onConnectFailed(BackendCall ended, String reason) {
@@ -131,6 +131,12 @@
     }
   }
 
+  /** Dispatches the request anew, which may no longer be sent where the connection leads. */
+  void onNotSent() {
+    sendCount--;
+    dispatcher.dispatch(this);
+  }
+
   /**
    * Returns whether the request may be sent once more, by its route and the shared retry limit.
    *
@@ -138,17 +144,22 @@
    */
   private boolean takeRetry(boolean hasRun) {
     boolean allowed = !hasRun || request.route().isRetryable();
-    boolean resumable =
-        !streaming
-            || (request.route().retrySafety() == RetrySafety.RESUMABLE
-                && held.events().isResumable());
+    boolean resumable = request.route().retrySafety() == RetrySafety.RESUMABLE;
     return allowed
-        && resumable
+        && (!streaming || (resumable && held.events().isResumable()))
         && sendCount < request.route().maxAttempts()
         && Clock.micros() < request.deadlineMicros()
         && dispatcher.takeRetry(this);
   }
 
+  private void retryOrEnd(BackendCall ended, boolean hasRun, String reason, String error) {
+    if (takeRetry(hasRun)) {
+      retry(ended, reason);
+    } else {
+      endWithError(error, false);
+    }
+  }
+
   private void retry(BackendCall ended, String reason) {
     excludedBackends.add(ended.selection().backend());
     held.dropUnfinished();
@@ -280,21 +291,13 @@
     if (response.misdirected() && from.selection().backend().isServer(response.backendId())) {
       held.keepRefusal(new ErrorResponse(response, held.buffer().take()));
     }
-    if (takeRetry(false)) {
-      retry(from, "refused with " + response.status());
-    } else {
-      endWithError("backend servers refused it", false);
-    }
+    retryOrEnd(from, false, "refused with " + response.status(), "backend servers refused it");
   }
 
   private void onErrorResponse(BackendCall from, BackendResponseHead response) {
     dispatcher.outcomes().onFailure(this, from, "status " + response.status());
     held.keepError(new ErrorResponse(response, held.buffer().take()));
-    if (takeRetry(true)) {
-      retry(from, "failed with " + response.status());
-    } else {
-      endWithError("the backend server failed", false);
-    }
+    retryOrEnd(from, true, "failed with " + response.status(), "the backend server failed");
   }
 
   void onBrokenResponse(BackendCall from, String reason) {
@@ -302,11 +305,7 @@
       return;
     }
     dispatcher.outcomes().onFailure(this, from, reason);
-    if (takeRetry(true)) {
-      retry(from, reason);
-    } else {
-      endWithError(reason, false);
-    }
+    retryOrEnd(from, true, reason, reason);
   }
 
   /** Ends the exchange at its deadline and retries it elsewhere if the backend server is silent. */
@@ -318,8 +317,8 @@
       endUnfinished("the time is up", true);
     } else if (call != null && !call.hasEnded()) {
       long silentMicros = now - call.lastProgressAt();
-      long silenceTimeout = dispatcher.silenceTimeoutMicros(this, call, streaming);
-      if (silentMicros > silenceTimeout && writer.isWritable() && takeRetry(true)) {
+      boolean silent = silentMicros > dispatcher.silenceTimeoutMicros(this, call, streaming);
+      if (silent && writer.isWritable() && takeRetry(true)) {
         BackendCall silentCall = call;
         silentCall.cancel();
         dispatcher.outcomes().onSilent(this, silentCall, silentMicros);
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -47,6 +47,7 @@
   private final Map<Long, Progress> loggedProgress = new HashMap<>();
   private Map<VersionCounts.Key, VersionStats> evidence = Map.of();
   private List<BackendServer> servers = List.of();
+  private Set<String> evacuated = Set.of();
   private boolean statusKnown;
   private boolean storeCallPending;
   private long nextSyncAt;
@@ -74,6 +75,11 @@
     statusKnown = false;
   }
 
+  /** Sets the failure domains whose servers get no requests, and so yield no evidence. */
+  void setEvacuated(Set<String> failureDomains) {
+    evacuated = failureDomains;
+  }
+
   void onServers(List<BackendServer> newServers) {
     servers = newServers;
     for (BackendServer server : newServers) {
@@ -228,7 +234,12 @@
   }
 
   private boolean hasServersInUse(String service, String version) {
-    return servesAny(service, s -> s.softwareVersion().equals(version) && !s.draining());
+    return servesAny(
+        service,
+        s ->
+            s.softwareVersion().equals(version)
+                && !s.draining()
+                && !evacuated.contains(s.failureDomain()));
   }
 
   /** Reads the recorded status of the roll-outs and writes changed ones if it is the turn. */
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.kumquatplank.platform.wire.EdgeSettings;
 import org.kumquatplank.testkit.fleet.FakeBackendServer;
@@ -51,7 +52,7 @@
             HOST,
             "a",
             "r",
-            Map.of("a", "r"),
+            Map.of("a", "r", "b", "r", "c", "far"),
             freeAddress(),
             freeAddress(),
             freeAddress(),
@@ -94,6 +95,20 @@
   /** Starts an instance with a grace period in milliseconds, and one backend server per script. */
   static EdgeFixture start(long graceMillis, List<Function<Received, Behaviour>> scripts)
       throws IOException {
+    return start(graceMillis, scripts, fixture -> {});
+  }
+
+  /**
+   * Starts an instance and one backend server per script.
+   *
+   * <p>The failure domains of this instance's region are {@code a}, its own, and {@code b}; {@code
+   * c} is in the region {@code far}.
+   *
+   * @param prepared called with the fixture before the instance starts
+   */
+  static EdgeFixture start(
+      long graceMillis, List<Function<Received, Behaviour>> scripts, Consumer<EdgeFixture> prepared)
+      throws IOException {
     EdgeFixture fixture = new EdgeFixture(graceMillis);
     fixture.putCatalog("\"key-1\"");
     for (Function<Received, Behaviour> script : scripts) {
@@ -103,6 +118,7 @@
       fixture.store.put("servers", id, backend.entry("pool", "ready"));
       backend.onRestart(endedId -> fixture.replaceEntry(endedId, backend));
     }
+    prepared.accept(fixture);
     ControlPlane control =
         new ControlPlane(fixture.settings, 1, fixture.controlLoop, fixture.dataPlane);
     fixture.dataPlane.start(control::onReport);
@@ -111,6 +127,16 @@
     return fixture;
   }
 
+  /** Registers a backend server in another failure domain. */
+  void move(int number, String failureDomain) {
+    FakeBackendServer backend = backends.get(number);
+    String entry = backend.entry("pool", "ready");
+    store.put(
+        "servers",
+        backend.id(),
+        entry.replace("\"zone\":\"a\"", "\"zone\":\"" + failureDomain + "\""));
+  }
+
   private void replaceEntry(String endedId, FakeBackendServer backend) {
     store.drop("servers", endedId);
     store.put("servers", backend.id(), backend.entry("pool", "ready"));
@@ -144,10 +170,18 @@
 
   /** Writes a new version of the configuration with these API keys. */
   void putCatalog(String keys) {
+    putCatalog(keys, "", "");
+  }
+
+  /** Writes a new version with these regions of all routes and of the account, quoted names. */
+  void putCatalog(String keys, String routeRegions, String accountRegions) {
     String route =
         "{\"name\":\"%s\",\"host\":\"h.example\",\"path_prefix\":\"/%s/\",\"kind\":\"%s\","
             + "\"timeout_ms\":2000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"pool\","
-            + "\"max_attempts\":%d,\"resume_streams\":true,\"target_gap_ms\":800%s}";
+            + "\"max_attempts\":%d,\"resume_streams\":true,\"target_gap_ms\":800%s,"
+            + "\"allowed_regions\":["
+            + routeRegions
+            + "]}";
     String routes =
         String.join(
             ",",
@@ -166,6 +200,8 @@
             + "\"header_timeout_ms\":600,\"idle_timeout_ms\":5000},"
             + "\"tenants\":[{\"name\":\"t\",\"api_keys\":["
             + keys
+            + "],\"allowed_regions\":["
+            + accountRegions
             + "]}]}");
   }
 
