--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.placement.EvacuationReturn;
+import org.kumquatplank.core.placement.PlacementRules;
 
 /**
  * Registry of the backend servers of each service and the state that this instance tracks for each.
@@ -74,6 +77,21 @@
     return loads;
   }
 
+  /**
+   * Uses the servers of failure domains that are taken back from an evacuation again, each after a
+   * while and one request at a time at first.
+   *
+   * @param position position of this instance among all at a server, 0 to 1, such as a random one
+   */
+  public void takeBack(
+      PlacementRules before, PlacementRules after, DoubleSupplier position, long now) {
+    for (BackendState state : byId.values()) {
+      if (before.isEvacuated(state.server()) && !after.isEvacuated(state.server())) {
+        state.backOff(EvacuationReturn.usableAt(position.getAsDouble(), now), now);
+      }
+    }
+  }
+
   /** Returns the listed processes that said that they leave. */
   public List<LeavingServer> leaving() {
     return byId.values().stream()
--- a/core/src/test/java/org/kumquatplank/core/placement/EvacuationModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/placement/EvacuationModelTest.java
@@ -102,11 +102,7 @@
     private void onOrders(long now) {
       PlacementRules before = rules;
       rules = before.withEvacuated(list.evacuated());
-      for (BackendState state : registry.all()) {
-        if (before.isEvacuated(state.server()) && !rules.isEvacuated(state.server())) {
-          state.backOff(EvacuationReturn.usableAt(1, now), now);
-        }
-      }
+      registry.takeBack(before, rules, () -> 1, now);
     }
 
     boolean uses(String domain, long now) {
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -12,7 +12,6 @@
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.ModelChooser;
 import org.kumquatplank.core.dispatch.VersionRule;
-import org.kumquatplank.core.placement.EvacuationReturn;
 import org.kumquatplank.core.placement.Placement;
 import org.kumquatplank.core.placement.PlacementRules;
 
@@ -57,11 +56,7 @@
   void setEvacuated(Set<String> failureDomains, long now) {
     PlacementRules before = placementRules;
     placementRules = before.withEvacuated(failureDomains);
-    for (BackendState state : registry.all()) {
-      if (before.isEvacuated(state.server()) && !isEvacuated(state)) {
-        state.backOff(EvacuationReturn.usableAt(Math.random(), now), now);
-      }
-    }
+    registry.takeBack(before, placementRules, Math::random, now);
   }
 
   /** Returns whether the failure domain of a backend server is evacuated. */
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -127,7 +127,7 @@
     InstanceDiscovery.create(settings, loop, store, directory).start();
     sendDigests();
     loop.scheduleAtFixedRate(
-        () -> runLoggingFailures(this::runPeriodicTasks),
+        () -> EdgeLog.runLoggingFailures("control", this::runPeriodicTasks),
         PERIODIC_TASK_INTERVAL_MILLIS,
         PERIODIC_TASK_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -158,17 +158,16 @@
 
     @Override
     public void onSnapshot(List<StoreRecord> records) {
-      evacuations.onSnapshot(records, operatorRecords.status().lastSource());
+      evacuations.onSnapshot(records, source());
       onChanges(records);
     }
 
     @Override
     public List<StoreRecord> onChanges(List<StoreRecord> records) {
+      // First, so that no request is sent by a configuration without the evacuations beside it.
+      evacuations.onChanges(records, source()).ifPresent(ControlPlane.this::publishEvacuated);
       records.forEach(r -> StoreFollower.applyOrLog(r, ControlPlane.this::onOperatorRecord));
-      Optional<Set<String>> evacuated = evacuations.takeChange();
-      evacuated.ifPresent(rollouts::setEvacuated);
       publishVersionRules();
-      evacuated.ifPresent(dataPlane::setEvacuated);
       return records;
     }
 
@@ -187,9 +186,12 @@
         updates.messageAfterRead(update, graceUntil, directory.maxRelayBytes(now), now), now);
   }
 
+  private String source() {
+    return operatorRecords.status().lastSource();
+  }
+
   private void onOperatorRecord(StoreRecord record) {
-    boolean isEvacuation = evacuations.onRecord(record, operatorRecords.status().lastSource());
-    if (isEvacuation || record.value().isEmpty()) {
+    if (record.value().isEmpty()) {
       return;
     }
     byte[] value = record.value().get();
@@ -201,7 +203,7 @@
         EdgeLog.event("catalog")
             .addKeyValue("version", read.version())
             .addKeyValue("offset", record.offset())
-            .addKeyValue("source", operatorRecords.status().lastSource())
+            .addKeyValue("source", source())
             .log();
       }
     } else if (CatalogDecoder.isRollout(record.key())) {
@@ -246,6 +248,13 @@
     }
   }
 
+  /** The version rules come first: else the share of a version without servers is rejected. */
+  private void publishEvacuated(Set<String> failureDomains) {
+    rollouts.setEvacuated(failureDomains);
+    publishVersionRules();
+    dataPlane.setEvacuated(failureDomains);
+  }
+
   private void publishVersionRules() {
     Map<String, VersionRule> newRules = rollouts.rules(Clock.micros());
     if (!newRules.equals(versionRules)) {
@@ -274,17 +283,8 @@
     }
   }
 
-  /** A periodic task that fails once must run again. */
-  private static void runLoggingFailures(Runnable work) {
-    try {
-      work.run();
-    } catch (RuntimeException e) {
-      EdgeLog.problem("control", e);
-    }
-  }
-
   private void sendDigests() {
-    runLoggingFailures(this::sendDigest);
+    EdgeLog.runLoggingFailures("control", this::sendDigest);
     boolean many = directory.live(Clock.micros()).size() > MANY_INSTANCES;
     long pause = many ? MANY_INSTANCES_DIGEST_INTERVAL_MILLIS : DIGEST_INTERVAL_MILLIS;
     loop.schedule(this::sendDigests, pause, TimeUnit.MILLISECONDS);
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -92,7 +92,7 @@
   private void tickWhileOpen() {
     loop.schedule(
         () -> {
-          runLoggingFailures(() -> dispatcher.tick(Clock.micros()));
+          EdgeLog.runLoggingFailures("traffic", () -> dispatcher.tick(Clock.micros()));
           if (dispatcher.openExchanges() > 0) {
             tickWhileOpen();
           } else {
@@ -103,16 +103,8 @@
         TimeUnit.MILLISECONDS);
   }
 
-  private static void runLoggingFailures(Runnable work) {
-    try {
-      work.run();
-    } catch (RuntimeException e) {
-      EdgeLog.problem("traffic", e);
-    }
-  }
-
   private void scheduleEvery(long millis, Runnable work) {
-    Runnable task = () -> runLoggingFailures(work);
+    Runnable task = () -> EdgeLog.runLoggingFailures("traffic", work);
     loop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/EdgeLog.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EdgeLog.java
@@ -39,6 +39,15 @@
     return SUCCESSES.incrementAndGet() % SUCCESS_SAMPLE_INTERVAL == 0;
   }
 
+  /** Runs a task and logs its failure, so that a periodic task that fails once runs again. */
+  static void runLoggingFailures(String where, Runnable work) {
+    try {
+      work.run();
+    } catch (RuntimeException e) {
+      problem(where, e);
+    }
+  }
+
   /** Logs an unexpected failure with the component in which it occurred. */
   static void problem(String where, Throwable cause) {
     LOGGER.atWarn().setMessage("problem").addKeyValue("where", where).setCause(cause).log();
--- a/edge/src/main/java/org/kumquatplank/edge/EvacuationManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EvacuationManager.java
@@ -26,19 +26,29 @@
     list.endUnlisted(listed).forEach(domain -> onChange("evacuation_ended", domain, -1, source));
   }
 
-  /** Handles a record; returns whether it is about an evacuation. */
-  boolean onRecord(StoreRecord record, String source) {
-    Optional<String> domain = CatalogDecoder.evacuatedFailureDomain(record.key());
-    if (domain.isEmpty()) {
-      return false;
+  /**
+   * Handles records; those that are not about an evacuation are ignored.
+   *
+   * @return the evacuated failure domains if they changed since the last call
+   */
+  Optional<Set<String>> onChanges(List<StoreRecord> records, String source) {
+    for (StoreRecord record : records) {
+      CatalogDecoder.evacuatedFailureDomain(record.key())
+          .ifPresent(domain -> onOrder(domain, record, source));
+    }
+    if (!changed) {
+      return Optional.empty();
     }
+    changed = false;
+    return Optional.of(list.evacuated());
+  }
+
+  private void onOrder(String domain, StoreRecord record, String source) {
     boolean begins = record.value().isPresent();
-    boolean isChange = begins ? list.begin(domain.get()) : list.end(domain.get());
-    if (isChange) {
+    if (begins ? list.begin(domain) : list.end(domain)) {
       String event = begins ? "evacuation_begun" : "evacuation_ended";
-      onChange(event, domain.get(), record.offset(), source);
+      onChange(event, domain, record.offset(), source);
     }
-    return true;
   }
 
   private void onChange(String event, String domain, long offset, String source) {
@@ -49,13 +59,4 @@
         .addKeyValue("source", source)
         .log();
   }
-
-  /** Returns the evacuated failure domains if they changed since the last call. */
-  Optional<Set<String>> takeChange() {
-    if (!changed) {
-      return Optional.empty();
-    }
-    changed = false;
-    return Optional.of(list.evacuated());
-  }
 }
--- a/edge/src/test/java/org/kumquatplank/edge/EvacuationTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EvacuationTest.java
@@ -206,4 +206,29 @@
                 ? ByteString.EMPTY
                 : ValueCompression.compress(value.getBytes(StandardCharsets.UTF_8)));
   }
+
+  /** A crash in an evacuated failure domain is not looked into, as a probe would be sent there. */
+  @Example
+  void testEvacuatedFailureDomainIsNotProbed() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    try (EdgeFixture edge = EdgeFixture.start(r -> after(release, new Behaviour.Crash(600)));
+        ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+      Future<String> response =
+          callers.submit(
+              () ->
+                  edge.send(
+                      "POST",
+                      "/tell/x",
+                      "t",
+                      "X-Model: *\r\nX-Token-Counts: 75,20\r\nX-Prompt-Prefix: a1:50,b:25\r\n"));
+      edge.await(() -> received(edge, 0) == 1);
+      evacuate(edge, "a");
+      awaitEvacuated(edge, 1);
+      release.countDown();
+      assertThat(EdgeFixture.status(response.get())).isNotEqualTo(200);
+      assertThat(EdgeFixture.status(send(edge))).isEqualTo(503);
+      Thread.sleep(300);
+      assertThat(metric(edge, "backend_crashes_total")).isZero();
+    }
+  }
 }
--- a/edge/src/test/java/org/kumquatplank/edge/RolloutRecordingTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/RolloutRecordingTest.java
@@ -140,4 +140,32 @@
       }
     }
   }
+
+  /** Guards against a version that is completed on no evidence, or whose share is rejected. */
+  @Example
+  void testVersionWhoseServersAreEvacuatedIsNeitherCompletedNorGivenAShare() throws IOException {
+    try (EdgeFixture edge =
+            PlacementFixture.start(
+                r -> PlacementFixture.GOOD,
+                "a",
+                r -> new Behaviour.Answer(200, "new"),
+                "b",
+                RolloutRecordingTest::evacuateNewVersion);
+        FakePeer second = FakePeer.open("z", edge.peerAddress())) {
+      order(edge, System.currentTimeMillis() - 17_000);
+      edge.await(() -> elapsedAtLeast(second, 18_000));
+      for (int i = 0; i < 100; i++) {
+        assertThat(EdgeFixture.status(edge.send("GET", "/read/x", "r" + i, ""))).isEqualTo(200);
+      }
+      assertThat(edge.backend(1).received()).isEmpty();
+      edge.await(() -> elapsedAtLeast(second, 25_000));
+      assertThat(recordedState(edge)).isEqualTo("running");
+    }
+  }
+
+  private static void evacuateNewVersion(EdgeFixture edge) {
+    String entry = edge.backend(1).entry("pool", "ready", "v2");
+    edge.store().put("servers", "i-1", entry.replace("\"zone\":\"a\"", "\"zone\":\"b\""));
+    edge.store().put("op", "evacuate/b", "{}");
+  }
 }
