Bound the requests of all instances to a cold backend server

A cold backend server crashes under more than cold_per_s requests a second, and each instance used it like the others. Now up to 12 instances are designated for it by rendezvous hashing, those of its failure domain first, each with one request an interval; the others send nothing until it is warm, and then more of them from step to step. Half of the bound is kept for a second, disjoint view of who may send. No message is needed for a request.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -30,6 +30,9 @@
   /** Added cost of a suspect server, which is selected only if there is no other, microseconds. */
   private static final double SUSPECT_PENALTY_MICROS = 20_000_000;
 
+  /** Added cost of a cold server, which is slow; it is selected if the others have no room. */
+  private static final double COLD_PENALTY_MICROS = 5_000_000;
+
   /** Probability that the server that all instances prefer for a prefix has it cached. */
   private static final double PREFERRED_HIT_RATIO = 0.6;
 
@@ -112,6 +115,20 @@
     return servers.stream().anyMatch(s -> isEligible(s, request, constraints));
   }
 
+  /**
+   * Returns whether all servers that may run the request are cold, and this instance may send none
+   * of them anything before a time.
+   */
+  public boolean isWithheld(
+      List<BackendState> servers, DispatchRequest request, Constraints constraints, long until) {
+    for (BackendState state : servers) {
+      if (isEligible(state, request, constraints) && state.coldServer().opensAt() <= until) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /**
    * Returns the time until which all servers that may run the request want nothing from this
    * instance, microseconds, or nothing if one of them takes requests.
@@ -190,6 +207,9 @@
     double cost =
         selection.expectedLatencyMicros()
             + repeatedTokens * REPEATED_PREFILL_FACTOR * MICROS_PER_MILLI / 100;
+    if (state.coldServer().isCold(now)) {
+      cost += COLD_PENALTY_MICROS;
+    }
     return state.isSuspect(now) ? cost + SUSPECT_PENALTY_MICROS : cost;
   }
 
@@ -248,6 +268,7 @@
       Selection selection, DispatchRequest request, Constraints constraints, long now) {
     String id = selection.backend().server().id();
     selection.backend().countAgainstRequestLimit(constraints.instanceCount(), now);
+    selection.backend().coldServer().recordSend(now);
     request
         .lastSharedSegment()
         .ifPresent(
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.placement.ColdServer;
 
 /**
  * State of one backend server: in-flight requests, reported load and failure suspicion.
@@ -44,6 +45,7 @@
   private boolean leaving;
   private long backOffUntil = Long.MIN_VALUE;
   private int rampLimit = Integer.MAX_VALUE;
+  private ColdServer coldServer = ColdServer.warm();
 
   BackendState(BackendServer server) {
     this.server = server;
@@ -61,6 +63,16 @@
     server = newServer;
   }
 
+  /** Sets the state that says whether the server is cold. */
+  public void setColdServer(ColdServer newColdServer) {
+    coldServer = newColdServer;
+  }
+
+  /** Returns whether the server is cold, and what it may get meanwhile. */
+  public ColdServer coldServer() {
+    return coldServer;
+  }
+
   /** Returns whether the server gets no new requests because it was removed, drains or leaves. */
   public boolean isClosed() {
     return removed || leaving || server.draining();
@@ -214,7 +226,7 @@
 
   /** Returns whether the server takes one more request of this instance. */
   boolean takesAnother(long now) {
-    return !isBackingOff(now) && inFlightRequests < rampLimit;
+    return !isBackingOff(now) && inFlightRequests < rampLimit && coldServer.permits(now);
   }
 
   /** Records a load report that came with a response. */
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -123,6 +123,9 @@
                             l.slowdownFactor(),
                             lastProgressAt)));
     exchange.dispatcher().onRequestLimit(selection.backend(), newHead.requestsPerSecond());
+    if (!isFromOtherServer(newHead)) {
+      exchange.dispatcher().coldStarts().onResponse(selection.backend(), newHead);
+    }
     sendTracker.setState(sendNumber, newHead.notExecuted() ? SendState.NOT_RUN : SendState.RAN);
     if (newHead.backOffMillis().isPresent()) {
       exchange.dispatcher().onBackOff(selection.backend(), newHead.backOffMillis().getAsLong());
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -1,10 +1,12 @@
 package org.kumquatplank.edge;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
@@ -19,12 +21,24 @@
 final class BackendChoice {
   private final BackendRegistry registry;
   private final BackendSelector selector;
+  private final ColdStarts coldStarts;
   private Map<String, VersionRule> versionRules = Map.of();
   private int liveInstances = 1;
 
-  BackendChoice(BackendRegistry registry, BackendSelector selector) {
+  BackendChoice(BackendRegistry registry, BackendSelector selector, ColdStarts coldStarts) {
     this.registry = registry;
     this.selector = selector;
+    this.coldStarts = coldStarts;
+  }
+
+  ColdStarts coldStarts() {
+    return coldStarts;
+  }
+
+  /** Replaces the list of backend servers. */
+  void setServers(Collection<BackendServer> servers) {
+    registry.setServers(servers);
+    coldStarts.onListed(registry.all());
   }
 
   BackendSelector selector() {
@@ -59,6 +73,7 @@
 
   /** Records that the request is sent there. */
   void recordSend(Exchange exchange, BackendSelector.Selection selection, long now) {
+    coldStarts.onSend(selection.backend(), now);
     selector.recordSend(selection, exchange.request(), constraints(exchange), now);
   }
 
@@ -76,6 +91,17 @@
     return selector.opensAt(servers(exchange), exchange.request(), all, now);
   }
 
+  /**
+   * Returns whether the request can't be sent before a deadline, as all backend servers are cold
+   * and this instance has no share in them.
+   */
+  boolean isWithheld(Exchange exchange, long until, long now) {
+    boolean withheld =
+        selector.isWithheld(servers(exchange), exchange.request(), constraints(exchange), until);
+    coldStarts.onNotSent(servers(exchange), withheld, now);
+    return withheld;
+  }
+
   /** Returns the time that the request would take with another model. */
   Optional<ModelChooser.LatencyEstimate> estimate(Exchange exchange, String model, long now) {
     return select(exchange, Optional.of(model), now)
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -16,6 +16,7 @@
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.membership.Succession;
+import org.kumquatplank.core.placement.ColdNews;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.EdgeDigest;
@@ -74,6 +75,7 @@
   private volatile TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
   private final Set<LeavingServer> receivedLeaving = new HashSet<>();
+  private final List<ColdNews> receivedCold = new ArrayList<>();
   private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
   private final long startedAt = Clock.micros();
@@ -311,6 +313,7 @@
               .setBackend(server.id())
               .setStartedMillis(server.startedMillis()));
     }
+    ColdNewsCodec.addTo(digest, trafficReport.cold(), now);
     if (!trafficReport.crashEvidence().isEmpty()) {
       digest.setCrashEvidence(CrashEvidenceCodec.encode(trafficReport.crashEvidence(), now));
     }
@@ -344,6 +347,7 @@
     for (LeavingBackend server : digest.getLeavingBackendsList()) {
       receivedLeaving.add(new LeavingServer(server.getBackend(), server.getStartedMillis()));
     }
+    ColdNewsCodec.decode(digest.getColdBackendsList(), now, receivedCold);
     if (digest.hasCrashEvidence()) {
       dataPlane.mergeCrashEvidence(CrashEvidenceCodec.decode(digest.getCrashEvidence(), now));
     }
@@ -370,10 +374,12 @@
             1 + live.size(),
             receivedLoads,
             receivedLeaving,
+            receivedCold,
             sendsTrials,
             operatorRecords.status().confirmedAt()));
     receivedLoads.clear();
     receivedLeaving.clear();
+    receivedCold.clear();
     staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
     staleness.check(
         catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -72,14 +72,15 @@
         new BackendChoice(
             registry,
             BackendSelector.create(
-                new Locality(settings.zone(), settings.regions()), new PrefillRate()));
+                new Locality(settings.zone(), settings.regions()), new PrefillRate()),
+            new ColdStarts(settings, catalog, metrics));
     this.retryLimits = new RetryLimits(settings.limits(), metrics);
     this.outcomes = new CallOutcomes(pool, choice.selector(), metrics);
   }
 
   void setServers(Collection<BackendServer> servers) {
     serversKnown = true;
-    registry.setServers(servers);
+    choice.setServers(servers);
     dispatchQueued();
   }
 
@@ -105,6 +106,10 @@
     registry.addLeaving(leaving);
   }
 
+  ColdStarts coldStarts() {
+    return choice.coldStarts();
+  }
+
   CallOutcomes outcomes() {
     return outcomes;
   }
@@ -204,6 +209,10 @@
       rejectBackingOff(exchange);
       return;
     }
+    if (choice.isWithheld(exchange, startDeadline(exchange, now), now)) {
+      exchange.endWithError("all backend servers are cold", false);
+      return;
+    }
     exchange.setQueued(true);
     queue.add(exchange.request(), exchange, startDeadline(exchange, now));
     metrics.count("waited");
