--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -42,6 +42,7 @@
   private final EdgeSettings settings;
   private final DataPlane dataPlane;
   private int version = 1;
+  private String coldStart = "";
 
   private EdgeFixture(long graceMillis) throws IOException {
     store = FakeStore.open(HOST);
@@ -142,6 +143,12 @@
     return trafficLoop.submit(dataPlane::openExchanges).syncUninterruptibly().getNow();
   }
 
+  /** Writes a configuration by which cold backend servers have to be spared. */
+  void putColdStart(int requestsPerSecond) {
+    coldStart = ",\"cold_start_s\":5,\"cold_per_s\":" + requestsPerSecond;
+    putCatalog("\"key-1\"");
+  }
+
   /** Writes a new version of the configuration with these API keys. */
   void putCatalog(String keys) {
     String route =
@@ -161,7 +168,9 @@
             + version++
             + ",\"routes\":["
             + routes
-            + "],\"services\":[{\"name\":\"pool\",\"connection_limit\":64}],"
+            + "],\"services\":[{\"name\":\"pool\",\"connection_limit\":64"
+            + coldStart
+            + "}],"
             + "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
             + "\"header_timeout_ms\":600,\"idle_timeout_ms\":5000},"
             + "\"tenants\":[{\"name\":\"t\",\"api_keys\":["
