Decide from second-hand digests which instances are live

A peer of another failure domain was taken to be live for 55 s after its last digest at 78 instances, since each instance hears few of the others itself: the address list named ended instances, and shares of limits were wrong for as long. Digests now also say when others were last heard of, as a 4-byte fingerprint and a byte of age: all of them within a failure domain, the sender's own to others. A process is gone everywhere 1.4 s (to 7 instances), 4.5 s (to 120) or 7 s after it last sent. An instance that is lost is still written to now and then, so that a partition heals; a new one is replied to at once.

--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -281,7 +281,7 @@
 
   private void sendDigests() {
     runLoggingFailures(this::sendDigest);
-    boolean many = directory.live(Clock.micros()).size() > MANY_INSTANCES;
+    boolean many = directory.liveCount(Clock.micros()) > MANY_INSTANCES;
     long pause = many ? MANY_INSTANCES_DIGEST_INTERVAL_MILLIS : DIGEST_INTERVAL_MILLIS;
     loop.schedule(this::sendDigests, pause, TimeUnit.MILLISECONDS);
   }
@@ -356,9 +356,8 @@
   private void runPeriodicTasks() {
     long now = Clock.micros();
     rollouts.onEvidence(trafficReport.evidence());
-    List<PeerDirectory.Peer> live = directory.live(now);
-    List<EdgeDigest> ready =
-        live.stream().map(PeerDirectory.Peer::digest).filter(EdgeDigest::getReady).toList();
+    int live = directory.liveCount(now);
+    List<EdgeDigest> ready = directory.ready(now);
     Succession succession =
         Succession.of(
             settings.instance(), ready.stream().map(EdgeDigest::getInstance).toList(), startedAt);
@@ -371,7 +370,7 @@
     dataPlane.onControlReport(
         new ControlReport(
             ready,
-            1 + live.size(),
+            1 + live,
             receivedLoads,
             receivedLeaving,
             receivedCold,
@@ -381,7 +380,6 @@
     receivedLeaving.clear();
     receivedCold.clear();
     staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
-    staleness.check(
-        catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
+    staleness.check(catalogVersion(), operatorRecords.status(), serverRecords.status(), live, now);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/InstanceDiscovery.java
+++ b/edge/src/main/java/org/kumquatplank/edge/InstanceDiscovery.java
@@ -71,7 +71,7 @@
               if (failure == null) {
                 page.records().forEach(r -> StoreFollower.applyOrLog(r, this::onRecord));
               }
-              boolean alone = directory.live(Clock.micros()).isEmpty();
+              boolean alone = directory.liveCount(Clock.micros()) == 0;
               long interval = alone ? INTERVAL_MILLIS : INTERVAL_WITH_PEERS_MILLIS;
               long pause = failure == null ? interval : RETRY_MILLIS;
               loop.schedule(this::discover, pause, TimeUnit.MILLISECONDS);
@@ -84,9 +84,7 @@
     }
     String address = new String(record.value().get(), StandardCharsets.UTF_8);
     long now = Clock.micros();
-    boolean isLive =
-        directory.live(now).stream().anyMatch(p -> p.digest().getInstance().equals(record.key()));
-    if (!isLive) {
+    if (!directory.isLive(record.key(), now)) {
       directory.probe(SettingsDecoder.address(address), now);
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
@@ -15,14 +15,17 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.kumquatplank.core.membership.LivenessReport;
+import org.kumquatplank.core.membership.LivenessTable;
 import org.kumquatplank.link.proto.EdgeDatagram;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.TopicRelay;
@@ -32,24 +35,27 @@
 /**
  * The peers of this instance, known by the digests that they send.
  *
- * <p>Digests are datagrams: a lost one is replaced by the next. A peer whose digests stop counts as
- * gone after a time-out. Confined to the control thread.
+ * <p>Digests are datagrams: a lost one is replaced by the next. Which peers are live is decided by
+ * {@link LivenessTable}. Confined to the control thread.
  */
 final class PeerDirectory {
-  /** Number of peers that one digest is sent to; with more peers, each receives fewer digests. */
-  private static final int FAN_OUT = 6;
-
-  /** Receivers in the same failure domain, since they prefer the same backend servers. */
-  private static final int SAME_ZONE_FAN_OUT = 4;
-
-  /** Time without a digest after which a peer counts as gone: five missed digests in a row. */
-  private static final long PEER_TIMEOUT_MICROS = 1_400_000;
-
   /** Only every fourth digest names known peers, since new instances are rare. */
   private static final int KNOWN_PEERS_ROUND_INTERVAL = 4;
 
+  /** Number of peers that such a digest names. */
+  private static final int KNOWN_PEERS = 6;
+
+  /** The same for a digest to a new peer, which may know few others. */
+  private static final int KNOWN_PEERS_FOR_NEW = 32;
+
   private static final int PROBE_ROUND_INTERVAL = 2;
 
+  /** Number of addresses that are probed in a round. */
+  private static final int PROBES = 12;
+
+  /** Number of new peers that receive a digest in a round besides the others. */
+  private static final int REPLIES = 12;
+
   /** Limit on the bytes of one round of relays to all peers: 0.3 s on a link of 10 Mbit/s. */
   private static final int MAX_RELAY_ROUND_BYTES = 400_000;
 
@@ -60,11 +66,16 @@
   private static final int MAX_DATAGRAM_BYTES = 32_000;
 
   private final String self;
-  private final String zone;
   private final String region;
   private final long startedMillis;
   private final Random random = new Random();
   private final Map<String, Peer> peers = new HashMap<>();
+  private final Set<InetSocketAddress> peerAddresses = new HashSet<>();
+  private final LivenessTable liveness;
+
+  /** Peers that are new and may not know this instance; they receive one of its next digests. */
+  private final Set<InetSocketAddress> newPeers = new LinkedHashSet<>();
+
   private final Map<InetSocketAddress, Long> probeUntil = new HashMap<>();
 
   /** Readers that peers follow and this instance does not; they receive its next digest. */
@@ -77,10 +88,10 @@
 
   PeerDirectory(String self, String zone, String region, long startedMillis, Listener listener) {
     this.self = self;
-    this.zone = zone;
     this.region = region;
     this.startedMillis = startedMillis;
     this.listener = listener;
+    this.liveness = LivenessTable.create(zone, random);
   }
 
   /** Receives the messages of peers. */
@@ -92,8 +103,8 @@
     void onRelay(TopicRelay relay, InetSocketAddress sender);
   }
 
-  /** A peer with its last digest and when that arrived, microseconds. */
-  record Peer(EdgeDigest digest, InetSocketAddress address, long lastSeenAt) {}
+  /** A peer with its last digest. */
+  record Peer(EdgeDigest digest, InetSocketAddress address) {}
 
   void bind(EventLoop loop, InetSocketAddress address) {
     channel =
@@ -144,11 +155,22 @@
       return;
     }
     long now = Clock.micros();
-    Peer known = peers.get(digest.getInstance());
-    if (known != null && known.digest().getStartedMillis() > digest.getStartedMillis()) {
+    LivenessTable.Hearing hearing =
+        liveness.hear(
+            digest.getInstance(),
+            digest.getZone(),
+            digest.getStartedMillis(),
+            digest.getLeaving(),
+            now);
+    if (hearing == LivenessTable.Hearing.REPLACED) {
       return;
     }
-    peers.put(digest.getInstance(), new Peer(digest, packet.sender(), now));
+    if (hearing == LivenessTable.Hearing.NEW) {
+      newPeers.add(packet.sender());
+    }
+    liveness.hearOf(LivenessCodec.decode(digest.getPeers()), now);
+    peers.put(digest.getInstance(), new Peer(digest, packet.sender()));
+    peerAddresses.add(packet.sender());
     probeUntil.remove(packet.sender());
     digest
         .getKnownPeersList()
@@ -162,8 +184,7 @@
   }
 
   private void learn(InetSocketAddress address, long now) {
-    boolean isKnown = peers.values().stream().anyMatch(p -> p.address().equals(address));
-    if (!isKnown && !address.equals(channel.localAddress())) {
+    if (!peerAddresses.contains(address) && !address.equals(channel.localAddress())) {
       probe(address, now);
     }
   }
@@ -182,21 +203,20 @@
   void send(EdgeDigest.Builder digest, long now) {
     digest.setInstance(self).setStartedMillis(startedMillis);
     followedReader = digest.getOperatorReaderAddress();
-    List<Peer> live = live(now);
-    Collections.shuffle(live, random);
     round++;
-    if (round % KNOWN_PEERS_ROUND_INTERVAL == 0) {
-      for (Peer peer : live.subList(0, Math.min(FAN_OUT, live.size()))) {
-        digest.addKnownPeers(
-            peer.address().getAddress().getHostAddress() + ":" + peer.address().getPort());
-      }
+    if (round % KNOWN_PEERS_ROUND_INTERVAL == 0 || !newPeers.isEmpty()) {
+      addKnownPeers(digest, newPeers.isEmpty() ? KNOWN_PEERS : KNOWN_PEERS_FOR_NEW, now);
     }
-    byte[] bytes = EdgeDatagram.newBuilder().setDigest(digest).build().toByteArray();
-    if (bytes.length > MAX_DATAGRAM_BYTES) {
+    LivenessTable.Receivers receivers = liveness.receivers(round, now);
+    byte[] bytes = encode(digest, liveness.otherDomainReport(now));
+    byte[] sameZoneBytes = encode(digest, liveness.sameDomainReport(now));
+    if (Math.max(bytes.length, sameZoneBytes.length) > MAX_DATAGRAM_BYTES) {
       EdgeLog.event("digest_too_large").addKeyValue("bytes", bytes.length).log();
       return;
     }
-    chooseReceivers(live).forEach(peer -> write(bytes, peer.address()));
+    receivers.sameDomain().forEach(name -> write(sameZoneBytes, peers.get(name).address()));
+    receivers.others().forEach(name -> write(bytes, peers.get(name).address()));
+    writeToSome(bytes, newPeers, REPLIES);
     // A reader sends its updates only to peers whose digests it has received.
     readersOfPeers.forEach(a -> write(bytes, a));
     readersOfPeers.clear();
@@ -204,35 +224,39 @@
     if (round % PROBE_ROUND_INTERVAL == 0) {
       List<InetSocketAddress> targets = new ArrayList<>(probeUntil.keySet());
       Collections.shuffle(targets, random);
-      targets.subList(0, Math.min(FAN_OUT, targets.size())).forEach(a -> write(bytes, a));
+      targets.subList(0, Math.min(PROBES, targets.size())).forEach(a -> write(bytes, a));
+      forgetLost(now);
     }
     channel.flush();
   }
 
-  /** Returns the receivers of this round: some peers of the same zone and some of the others. */
-  private List<Peer> chooseReceivers(List<Peer> shuffled) {
-    List<Peer> sameZone =
-        shuffled.stream()
-            .filter(p -> p.digest().getZone().equals(zone))
-            .sorted(Comparator.comparing(p -> p.digest().getInstance()))
-            .toList();
-    List<Peer> otherZone =
-        shuffled.stream().filter(p -> !p.digest().getZone().equals(zone)).toList();
-    List<Peer> receivers = new ArrayList<>(rotate(sameZone, SAME_ZONE_FAN_OUT, round));
-    receivers.addAll(otherZone.subList(0, Math.min(FAN_OUT - receivers.size(), otherZone.size())));
-    return receivers;
+  private static byte[] encode(EdgeDigest.Builder digest, LivenessReport report) {
+    digest.setPeers(LivenessCodec.encode(report));
+    return EdgeDatagram.newBuilder().setDigest(digest).build().toByteArray();
+  }
+
+  private void addKnownPeers(EdgeDigest.Builder digest, int maxCount, long now) {
+    List<Peer> live = live(now);
+    Collections.shuffle(live, random);
+    for (Peer peer : live.subList(0, Math.min(maxCount, live.size()))) {
+      digest.addKnownPeers(
+          peer.address().getAddress().getHostAddress() + ":" + peer.address().getPort());
+    }
   }
 
-  /** Returns the slice of a list for a round, so that all elements take turns over the rounds. */
-  static <T> List<T> rotate(List<T> all, int maxCount, int round) {
-    if (all.size() <= maxCount) {
-      return all;
+  /** Sends to some of the addresses and removes these. */
+  private void writeToSome(byte[] bytes, Set<InetSocketAddress> addresses, int maxCount) {
+    Iterator<InetSocketAddress> iterator = addresses.iterator();
+    for (int i = 0; i < maxCount && iterator.hasNext(); i++) {
+      write(bytes, iterator.next());
+      iterator.remove();
     }
-    List<T> part = new ArrayList<>();
-    for (int i = 0; i < maxCount; i++) {
-      part.add(all.get(Math.floorMod(round * maxCount + i, all.size())));
+  }
+
+  private void forgetLost(long now) {
+    for (String name : liveness.removeForgotten(now)) {
+      peerAddresses.remove(peers.remove(name).address());
     }
-    return part;
   }
 
   /** Returns the size limit of a relay, bytes. */
@@ -256,22 +280,36 @@
     channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
   }
 
-  /** Returns the peers whose last digest is within the time-out. */
+  /** Returns the peers that are live. */
   List<Peer> live(long now) {
-    long sameZone = peers.values().stream().filter(p -> p.digest().getZone().equals(zone)).count();
-    long sameZoneTimeout =
-        PEER_TIMEOUT_MICROS * Math.max(1, Math.ceilDiv(sameZone, SAME_ZONE_FAN_OUT));
-    long otherZoneTimeout =
-        PEER_TIMEOUT_MICROS * Math.max(1, peers.size() / (FAN_OUT - SAME_ZONE_FAN_OUT));
-    long timeout = peers.size() <= FAN_OUT ? PEER_TIMEOUT_MICROS : otherZoneTimeout;
-    peers.values().removeIf(p -> now - p.lastSeenAt() > 10 * timeout);
-    List<Peer> live = new ArrayList<>();
-    for (Peer peer : peers.values()) {
-      boolean isSameZone = peer.digest().getZone().equals(zone);
-      if (now - peer.lastSeenAt() < (isSameZone ? Math.min(timeout, sameZoneTimeout) : timeout)) {
-        live.add(peer);
+    List<Peer> live = new ArrayList<>(peers.size());
+    for (Map.Entry<String, Peer> peer : peers.entrySet()) {
+      if (liveness.isLive(peer.getKey(), now)) {
+        live.add(peer.getValue());
       }
     }
     return live;
   }
+
+  /** Returns the digests of the peers that are live and accept requests. */
+  List<EdgeDigest> ready(long now) {
+    List<EdgeDigest> ready = new ArrayList<>(peers.size());
+    for (Map.Entry<String, Peer> peer : peers.entrySet()) {
+      EdgeDigest digest = peer.getValue().digest();
+      if (digest.getReady() && liveness.acceptsRequests(peer.getKey(), now)) {
+        ready.add(digest);
+      }
+    }
+    return ready;
+  }
+
+  /** Returns whether a peer is live. */
+  boolean isLive(String name, long now) {
+    return liveness.isLive(name, now);
+  }
+
+  /** Returns the number of peers that are live. */
+  int liveCount(long now) {
+    return liveness.liveCount(now);
+  }
 }
--- a/edge/src/test/java/org/kumquatplank/edge/PeerDirectoryTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/PeerDirectoryTest.java
@@ -7,13 +7,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.RelayedRecord;
@@ -38,20 +34,6 @@
     }
   }
 
-  /** With eleven peers and four receivers per round, each peer is reached within three rounds. */
-  @Example
-  void testPeersOfTheSameZoneReceiveDigestsInRotation() {
-    List<Integer> all = IntStream.range(0, 11).boxed().toList();
-    for (int round = 0; round < 20; round++) {
-      Set<Integer> reached = new HashSet<>();
-      for (int i = round; i < round + 3; i++) {
-        reached.addAll(PeerDirectory.rotate(all, 4, i));
-      }
-      assertThat(reached).hasSize(11);
-    }
-    assertThat(PeerDirectory.rotate(List.of(1, 2), 4, 7)).containsExactly(1, 2);
-  }
-
   @Example
   void testLargeRelayArrivesInFull() throws InterruptedException {
     EventLoop loop =
@@ -120,4 +102,48 @@
       loop.parent().shutdownGracefully();
     }
   }
+
+  /** A peer whose digest was never heard before may not know this instance. */
+  @Example
+  void testNewPeerReceivesADigest() throws InterruptedException {
+    EventLoop loop =
+        (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    try {
+      Inbox inboxA = new Inbox();
+      Inbox inboxB = new Inbox();
+      PeerDirectory a = new PeerDirectory("a", "z", "r", 1, inboxA);
+      PeerDirectory b = new PeerDirectory("b", "other", "r", 1, inboxB);
+      InetSocketAddress addressA = EdgeFixture.freeAddress();
+      a.bind(loop, addressA);
+      b.bind(loop, EdgeFixture.freeAddress());
+      // Peers of its own failure domain take the places in the round.
+      for (int i = 0; i < 7; i++) {
+        PeerDirectory peer = new PeerDirectory("p" + i, "z", "r", 1, new Inbox());
+        peer.bind(loop, EdgeFixture.freeAddress());
+        probe(loop, peer, "z", addressA);
+      }
+      probe(loop, b, "other", addressA);
+      for (int i = 0; i < 8; i++) {
+        assertThat(inboxA.digests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isNotNull();
+      }
+      loop.execute(
+          () -> a.send(EdgeDigest.newBuilder().setZone("z").setRegion("r"), Clock.micros()));
+      EdgeDigest reply = inboxB.digests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      assertThat(reply).isNotNull();
+      assertThat(reply.getKnownPeersCount()).isEqualTo(8);
+      assertThat(reply.getPeers().getProcessesCount()).isEqualTo(7);
+    } finally {
+      loop.parent().shutdownGracefully();
+    }
+  }
+
+  private static void probe(
+      EventLoop loop, PeerDirectory peer, String zone, InetSocketAddress address) {
+    loop.execute(() -> peer.probe(address, Clock.micros()));
+    for (int i = 0; i < 2; i++) {
+      // Addresses are probed in every second round.
+      loop.execute(
+          () -> peer.send(EdgeDigest.newBuilder().setZone(zone).setRegion("r"), Clock.micros()));
+    }
+  }
 }
