--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -1,11 +1,13 @@
 package org.kumquatplank.edge;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.dispatch.BackendRegistry;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
@@ -28,6 +30,7 @@
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
   private final BackendRegistry registry;
   private final BackendSelector selector;
+  private final ColdStarts coldStarts;
   private final ConfirmedCatalog catalog;
   private PlacementRules placementRules;
   private Map<String, VersionRule> versionRules = Map.of();
@@ -36,14 +39,26 @@
   BackendChoice(
       BackendRegistry registry,
       BackendSelector selector,
+      ColdStarts coldStarts,
       ConfirmedCatalog catalog,
       PlacementRules placementRules) {
     this.registry = registry;
     this.selector = selector;
+    this.coldStarts = coldStarts;
     this.catalog = catalog;
     this.placementRules = placementRules;
   }
 
+  ColdStarts coldStarts() {
+    return coldStarts;
+  }
+
+  /** Replaces the list of backend servers. */
+  void setServers(Collection<BackendServer> servers) {
+    registry.setServers(servers);
+    coldStarts.onListed(registry.all());
+  }
+
   BackendSelector selector() {
     return selector;
   }
@@ -111,6 +126,7 @@
 
   /** Records that the request is sent there. */
   void recordSend(Exchange exchange, BackendSelector.Selection selection, long now) {
+    coldStarts.onSend(selection.backend(), now);
     selector.recordSend(selection, exchange.request(), constraints(exchange), now);
   }
 
@@ -141,6 +157,17 @@
         now);
   }
 
+  /**
+   * Returns whether the request can't be sent before a deadline, as all backend servers are cold
+   * and this instance has no share in them.
+   */
+  boolean isWithheld(Exchange exchange, long until, long now) {
+    boolean withheld =
+        selector.isWithheld(servers(exchange), exchange.request(), constraints(exchange), until);
+    coldStarts.onNotSent(servers(exchange), withheld, now);
+    return withheld;
+  }
+
   /** Returns the time that the request would take with another model. */
   private Optional<ModelChooser.LatencyEstimate> estimate(
       Exchange exchange, String model, long now) {
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -16,6 +16,7 @@
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.membership.Succession;
+import org.kumquatplank.core.placement.ColdNews;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.EdgeDigest;
@@ -75,6 +76,7 @@
   private volatile TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
   private final Set<LeavingServer> receivedLeaving = new HashSet<>();
+  private final List<ColdNews> receivedCold = new ArrayList<>();
   private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
   private final long startedAt = Clock.micros();
@@ -285,7 +287,7 @@
 
   private void sendDigests() {
     EdgeLog.runLoggingFailures("control", this::sendDigest);
-    boolean many = directory.live(Clock.micros()).size() > MANY_INSTANCES;
+    boolean many = directory.liveCount(Clock.micros()) > MANY_INSTANCES;
     long pause = many ? MANY_INSTANCES_DIGEST_INTERVAL_MILLIS : DIGEST_INTERVAL_MILLIS;
     loop.schedule(this::sendDigests, pause, TimeUnit.MILLISECONDS);
   }
@@ -317,6 +319,7 @@
               .setBackend(server.id())
               .setStartedMillis(server.startedMillis()));
     }
+    ColdNewsCodec.addTo(digest, trafficReport.cold(), now);
     if (!trafficReport.crashEvidence().isEmpty()) {
       digest.setCrashEvidence(CrashEvidenceCodec.encode(trafficReport.crashEvidence(), now));
     }
@@ -350,6 +353,7 @@
     for (LeavingBackend server : digest.getLeavingBackendsList()) {
       receivedLeaving.add(new LeavingServer(server.getBackend(), server.getStartedMillis()));
     }
+    ColdNewsCodec.decode(digest.getColdBackendsList(), now, receivedCold);
     if (digest.hasCrashEvidence()) {
       dataPlane.mergeCrashEvidence(CrashEvidenceCodec.decode(digest.getCrashEvidence(), now));
     }
@@ -358,12 +362,8 @@
   private void runPeriodicTasks() {
     long now = Clock.micros();
     rollouts.onEvidence(trafficReport.evidence());
-    List<PeerDirectory.Peer> live = directory.live(now);
-    List<EdgeDigest> ready =
-        live.stream()
-            .map(PeerDirectory.Peer::digest)
-            .filter(d -> d.getReady() && !d.getLeaving())
-            .toList();
+    int live = directory.liveCount(now);
+    List<EdgeDigest> ready = directory.ready(now);
     Succession succession =
         Succession.of(
             settings.instance(), ready.stream().map(EdgeDigest::getInstance).toList(), startedAt);
@@ -376,15 +376,16 @@
     dataPlane.onControlReport(
         new ControlReport(
             ready,
-            1 + live.size(),
+            1 + live,
             receivedLoads,
             receivedLeaving,
+            receivedCold,
             sendsTrials,
             operatorRecords.status().confirmedAt()));
     receivedLoads.clear();
     receivedLeaving.clear();
+    receivedCold.clear();
     staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
-    staleness.check(
-        catalogVersion(), operatorRecords.status(), serverRecords.status(), live.size(), now);
+    staleness.check(catalogVersion(), operatorRecords.status(), serverRecords.status(), live, now);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -68,6 +68,7 @@
             registry,
             BackendSelector.create(
                 new Locality(settings.zone(), settings.regions()), new PrefillRate()),
+            new ColdStarts(settings, catalog, metrics),
             catalog,
             PlacementRules.of(settings.regions()));
     this.crashDetector = new CrashDetector(pool, crashTracker, metrics, choice::isEvacuated);
@@ -77,7 +78,7 @@
 
   void setServers(Collection<BackendServer> servers) {
     serversKnown = true;
-    registry.setServers(servers);
+    choice.setServers(servers);
     onPlacementChanged();
   }
 
@@ -132,6 +133,10 @@
     registry.addLeaving(leaving);
   }
 
+  ColdStarts coldStarts() {
+    return choice.coldStarts();
+  }
+
   CallOutcomes outcomes() {
     return outcomes;
   }
@@ -222,6 +227,10 @@
       rejectBackingOff(exchange);
       return;
     }
+    if (choice.isWithheld(exchange, startDeadline(exchange, now), now)) {
+      exchange.endWithError("all backend servers are cold", false);
+      return;
+    }
     exchange.setQueued(true);
     queue.add(exchange.request(), exchange, startDeadline(exchange, now));
     metrics.count("waited");
