Make fewer calls to the store when many instances start or the store is away

Cause: every instance registered and listed the others at its start, read both topics until it heard of the reader, and all took over at once when updates stopped, so that a restart or an outage was a burst of calls; each read the recorded status at each new roll-out order. Change: an instance takes over as reader the later the more live peers come before it by name, and trusts its own listing as long as an update; only three representatives of a failure domain and instances without peers register; retries are paced by rank; a new order has no recorded status to read.

--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -157,16 +157,20 @@
 
     @Override
     public void onSnapshot(List<StoreRecord> records) {
-      onChanges(records);
+      apply(records, false);
     }
 
     @Override
     public List<StoreRecord> onChanges(List<StoreRecord> records) {
-      records.forEach(r -> StoreFollower.applyOrLog(r, ControlPlane.this::onOperatorRecord));
-      publishVersionRules();
+      apply(records, true);
       return records;
     }
 
+    private void apply(List<StoreRecord> records, boolean areNew) {
+      records.forEach(r -> StoreFollower.applyOrLog(r, record -> onOperatorRecord(record, areNew)));
+      publishVersionRules();
+    }
+
     @Override
     public void onRecovered(long outageMicros) {}
 
@@ -182,7 +186,7 @@
         updates.messageAfterRead(update, graceUntil, directory.maxRelayBytes(now), now), now);
   }
 
-  private void onOperatorRecord(StoreRecord record) {
+  private void onOperatorRecord(StoreRecord record, boolean isNew) {
     if (record.value().isEmpty()) {
       return;
     }
@@ -199,7 +203,7 @@
             .log();
       }
     } else if (CatalogDecoder.isRollout(record.key())) {
-      rollouts.onOrder(CatalogDecoder.decodeRollout(value, record.offset()), Clock.micros());
+      rollouts.onOrder(CatalogDecoder.decodeRollout(value, record.offset()), isNew, Clock.micros());
     }
   }
 
@@ -319,11 +323,12 @@
   }
 
   private String operatorReaderAddress() {
+    String own = operatorRecords.isReader() ? InstanceDiscovery.peerAddress(settings) : "";
     return operatorRecords
         .reader()
         .map(relayAddresses::get)
         .map(a -> a.getHostString() + ":" + a.getPort())
-        .orElse(InstanceDiscovery.peerAddress(settings));
+        .orElse(own);
   }
 
   private long catalogVersion() {
@@ -353,6 +358,14 @@
     long now = Clock.micros();
     rollouts.onEvidence(trafficReport.evidence());
     List<PeerDirectory.Peer> live = directory.live(now);
+    List<String> regionPeers =
+        live.stream()
+            .map(PeerDirectory.Peer::digest)
+            .filter(d -> d.getRegion().equals(settings.region()) && !d.getLeaving())
+            .map(EdgeDigest::getInstance)
+            .toList();
+    operatorRecords.setLivePeers(regionPeers);
+    serverRecords.setLivePeers(regionPeers);
     List<EdgeDigest> ready =
         live.stream().map(PeerDirectory.Peer::digest).filter(EdgeDigest::getReady).toList();
     Succession succession =
--- a/edge/src/main/java/org/kumquatplank/edge/InstanceDiscovery.java
+++ b/edge/src/main/java/org/kumquatplank/edge/InstanceDiscovery.java
@@ -2,24 +2,36 @@
 
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.kumquatplank.core.membership.Representatives;
+import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.platform.store.StoreClient;
 import org.kumquatplank.platform.store.StoreRecord;
 import org.kumquatplank.platform.wire.EdgeSettings;
 import org.kumquatplank.platform.wire.SettingsDecoder;
 
 /**
- * Registers this instance in the store, and finds the others that are registered there.
+ * Finds other instances through the store where the seeds and the digests of peers don't suffice.
  *
- * <p>Confined to the control thread.
+ * <p>An instance without peers, and the representatives of each failure domain, register in the
+ * store and list the registrations from time to time. All others learn of new instances by digest
+ * and make no call. Confined to the control thread.
  */
 final class InstanceDiscovery {
   private static final String TOPIC = "instances";
-  private static final long INTERVAL_MILLIS = 15_000;
 
-  /** Longer interval while peers are known, since their digests name new instances. */
-  private static final long INTERVAL_WITH_PEERS_MILLIS = 60_000;
+  /** Time after the start in which the seeds and their peers respond. */
+  private static final long FIRST_CHECK_MILLIS = 1_000;
+
+  private static final long CHECK_MILLIS = 5_000;
+  private static final long ALONE_INTERVAL_MICROS = 15_000_000;
+
+  /**
+   * Interval of the representatives, which joins groups of instances that don't know each other.
+   */
+  private static final long INTERVAL_WITH_PEERS_MICROS = 60_000_000;
 
   private static final long RETRY_MILLIS = 500;
 
@@ -27,6 +39,8 @@
   private final EventLoop loop;
   private final StoreClient store;
   private final PeerDirectory directory;
+  private boolean registered;
+  private long lastListedAt = Long.MIN_VALUE / 2;
 
   private InstanceDiscovery(
       EdgeSettings settings, EventLoop loop, StoreClient store, PeerDirectory directory) {
@@ -46,35 +60,62 @@
     return settings.host() + ":" + settings.firstPeerPort();
   }
 
-  /**
-   * Registers this instance until the store accepts it, then looks for others from time to time.
-   */
+  /** Starts to check whether this instance has to use the store. */
   void start() {
+    schedule(FIRST_CHECK_MILLIS);
+  }
+
+  private void schedule(long millis) {
+    loop.schedule(this::check, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void check() {
+    long now = Clock.micros();
+    List<EdgeDigest> live = directory.live(now).stream().map(PeerDirectory.Peer::digest).toList();
+    boolean isRepresentative =
+        Representatives.isOneOf(
+            settings.instance(),
+            live.stream()
+                .filter(d -> d.getZone().equals(settings.zone()))
+                .map(EdgeDigest::getInstance)
+                .toList());
+    long interval = live.isEmpty() ? ALONE_INTERVAL_MICROS : INTERVAL_WITH_PEERS_MICROS;
+    if (!live.isEmpty() && !isRepresentative) {
+      schedule(CHECK_MILLIS);
+    } else if (!registered) {
+      register();
+    } else if (now - lastListedAt >= interval) {
+      list();
+    } else {
+      schedule(CHECK_MILLIS);
+    }
+  }
+
+  private void register() {
     byte[] value = peerAddress(settings).getBytes(StandardCharsets.UTF_8);
     store
         .put(TOPIC, settings.instance(), value, OptionalLong.empty())
         .whenComplete(
             (offset, failure) -> {
-              if (failure != null) {
-                loop.schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+              registered = failure == null;
+              if (registered) {
+                list();
               } else {
-                discover();
+                schedule(RETRY_MILLIS);
               }
             });
   }
 
-  private void discover() {
+  private void list() {
     store
         .readNewest(TOPIC)
         .whenComplete(
             (page, failure) -> {
               if (failure == null) {
+                lastListedAt = Clock.micros();
                 page.records().forEach(r -> StoreFollower.applyOrLog(r, this::onRecord));
               }
-              boolean alone = directory.live(Clock.micros()).isEmpty();
-              long interval = alone ? INTERVAL_MILLIS : INTERVAL_WITH_PEERS_MILLIS;
-              long pause = failure == null ? interval : RETRY_MILLIS;
-              loop.schedule(this::discover, pause, TimeUnit.MILLISECONDS);
+              schedule(failure == null ? CHECK_MILLIS : RETRY_MILLIS);
             });
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -47,7 +47,7 @@
   private final Map<Long, Progress> loggedProgress = new HashMap<>();
   private Map<VersionCounts.Key, VersionStats> evidence = Map.of();
   private List<BackendServer> servers = List.of();
-  private boolean statusKnown;
+  private boolean statusKnown = true;
   private boolean storeCallPending;
   private long nextSyncAt;
 
@@ -58,7 +58,13 @@
     this.store = store;
   }
 
-  void onOrder(RolloutOrder order, long now) {
+  /**
+   * Applies an order to roll out.
+   *
+   * @param isNew whether the order was given while this instance ran, so that no status of it can
+   *     have been recorded before
+   */
+  void onOrder(RolloutOrder order, boolean isNew, long now) {
     RolloutStateMachine known = machines.get(order.service());
     if (known != null && known.order().offset() >= order.offset()) {
       return;
@@ -71,7 +77,7 @@
     machines.put(order.service(), RolloutStateMachine.create(order, now));
     baselines.put(order.offset(), evidence);
     startedMillis.put(order.offset(), System.currentTimeMillis());
-    statusKnown = false;
+    statusKnown &= isNew;
   }
 
   void onServers(List<BackendServer> newServers) {
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -1,6 +1,7 @@
 package org.kumquatplank.edge;
 
 import io.netty.channel.EventLoop;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,15 @@
   private static final long INITIAL_BACKOFF_MILLIS = 150;
   private static final long MAX_BACKOFF_MILLIS = 600;
 
+  /**
+   * Longest pause between two failed reads. Peers with smaller names try more often, and tell this
+   * instance when the store is back.
+   */
+  private static final long MAX_RETRY_PAUSE_MILLIS = 6_000;
+
+  /** Pause after a listing, in which the digests of peers arrive at an instance that starts. */
+  private static final long AFTER_LISTING_MILLIS = 300;
+
   /** How often an instance that is not the elected reader checks whether it has become so. */
   private static final long ELECTION_CHECK_MILLIS = 400;
 
@@ -122,6 +132,16 @@
     return offset < cursor.nextOffset() && !cursor.isListing();
   }
 
+  /** Sets the names of the live peers that may read the topic for this instance. */
+  void setLivePeers(Collection<String> names) {
+    election.setLivePeers(names);
+  }
+
+  /** Returns whether this instance reads the topic itself. */
+  boolean isReader() {
+    return election.isReader(Clock.micros());
+  }
+
   /** Returns the peer that reads the topic for this instance, if any. */
   Optional<String> reader() {
     return election.reader(Clock.micros());
@@ -135,7 +155,7 @@
         .whenComplete(
             (page, failure) -> {
               if (failure != null) {
-                onReadFailed(failure, this::readSnapshot);
+                onReadFailed(failure, this::readSnapshot, 0);
                 return;
               }
               onReadSucceeded();
@@ -143,7 +163,8 @@
               TopicUpdate<StoreRecord> listed =
                   new TopicUpdate<>(page.nextOffset(), page.nextOffset(), page.records());
               runLoggingFailures(() -> listener.onSnapshot(cursor.onListed(listed)));
-              loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
+              long pause = Math.max(AFTER_LISTING_MILLIS, topic.pauseMillis());
+              loop.schedule(this::readIfElected, pause, TimeUnit.MILLISECONDS);
             });
   }
 
@@ -180,8 +201,11 @@
             (page, failure) -> {
               if (failure != null) {
                 cursor.onReadFailed();
+                boolean mustList = isBeyondRetention(failure);
                 onReadFailed(
-                    failure, isBeyondRetention(failure) ? this::readSnapshot : this::readIfElected);
+                    failure,
+                    mustList ? this::readSnapshot : this::readIfElected,
+                    mustList ? 0 : election.rank());
                 return;
               }
               onReadSucceeded();
@@ -217,7 +241,7 @@
       return;
     }
     election.recordConfirmation(sender, confirmedAt);
-    if (!following && !election.isReader(Clock.micros())) {
+    if (!following && election.reader(Clock.micros()).isPresent()) {
       setFollowing(true, sender);
     }
     if (failing && !cursor.isListing()) {
@@ -251,6 +275,7 @@
       runLoggingFailures(() -> listener.onRecovered(now - lastConfirmedAt));
     }
     lastConfirmedAt = now;
+    election.recordRead(now);
   }
 
   private void onStoreRecovered(String source) {
@@ -263,7 +288,12 @@
         .log();
   }
 
-  private void onReadFailed(Throwable failure, Runnable retry) {
+  /**
+   * Schedules another read.
+   *
+   * @param peersAhead number of live peers that try before this instance
+   */
+  private void onReadFailed(Throwable failure, Runnable retry, int peersAhead) {
     if (!failing && !isBeyondRetention(failure)) {
       failing = true;
       EdgeLog.event("store_lost")
@@ -271,7 +301,8 @@
           .addKeyValue("cause", String.valueOf(unwrap(failure).getMessage()))
           .log();
     }
-    loop.schedule(retry, backoffMillis, TimeUnit.MILLISECONDS);
+    long pause = Math.min(MAX_RETRY_PAUSE_MILLIS, backoffMillis * (1 + peersAhead));
+    loop.schedule(retry, pause, TimeUnit.MILLISECONDS);
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, 2 * backoffMillis);
   }
 
