--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -161,16 +161,20 @@
     @Override
     public void onSnapshot(List<StoreRecord> records) {
       evacuations.onSnapshot(records, source());
-      onChanges(records);
+      apply(records, false);
     }
 
     @Override
     public List<StoreRecord> onChanges(List<StoreRecord> records) {
+      apply(records, true);
+      return records;
+    }
+
+    private void apply(List<StoreRecord> records, boolean areNew) {
       // First, so that no request is sent by a configuration without the evacuations beside it.
       evacuations.onChanges(records, source()).ifPresent(ControlPlane.this::publishEvacuated);
-      records.forEach(r -> StoreFollower.applyOrLog(r, ControlPlane.this::onOperatorRecord));
+      records.forEach(r -> StoreFollower.applyOrLog(r, record -> onOperatorRecord(record, areNew)));
       publishVersionRules();
-      return records;
     }
 
     @Override
@@ -192,7 +196,7 @@
     return operatorRecords.status().lastSource();
   }
 
-  private void onOperatorRecord(StoreRecord record) {
+  private void onOperatorRecord(StoreRecord record, boolean isNew) {
     if (record.value().isEmpty()) {
       return;
     }
@@ -209,7 +213,7 @@
             .log();
       }
     } else if (CatalogDecoder.isRollout(record.key())) {
-      rollouts.onOrder(CatalogDecoder.decodeRollout(value, record.offset()), Clock.micros());
+      rollouts.onOrder(CatalogDecoder.decodeRollout(value, record.offset()), isNew, Clock.micros());
     }
   }
 
@@ -328,11 +332,12 @@
   }
 
   private String operatorReaderAddress() {
+    String own = operatorRecords.isReader() ? InstanceDiscovery.peerAddress(settings) : "";
     return operatorRecords
         .reader()
         .map(relayAddresses::get)
         .map(a -> a.getHostString() + ":" + a.getPort())
-        .orElse(InstanceDiscovery.peerAddress(settings));
+        .orElse(own);
   }
 
   private long catalogVersion() {
@@ -363,6 +368,9 @@
     long now = Clock.micros();
     rollouts.onEvidence(trafficReport.evidence());
     int live = directory.liveCount(now);
+    List<String> regionPeers = directory.namesInRegion(now);
+    operatorRecords.setLivePeers(regionPeers);
+    serverRecords.setLivePeers(regionPeers);
     List<EdgeDigest> ready = directory.ready(now);
     Succession succession =
         Succession.of(
--- a/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
@@ -269,6 +269,14 @@
     return live(now).stream().filter(p -> p.digest().getRegion().equals(region)).toList();
   }
 
+  /** Returns the names of the live peers of the region that do not leave. */
+  List<String> namesInRegion(long now) {
+    return inRegion(now).stream()
+        .filter(p -> !p.digest().getLeaving())
+        .map(p -> p.digest().getInstance())
+        .toList();
+  }
+
   /** Sends records of the store to all peers of the region. */
   void send(TopicRelay relay, long now) {
     byte[] bytes = EdgeDatagram.newBuilder().setRelay(relay).build().toByteArray();
