Keep news of cold servers that come before the configuration

The list of servers may be read before the configuration that says that a service has cold starts; such news was dropped. Also drops the state of a replaced process at once, and ends the limits when the configuration no longer asks for them.

--- a/core/src/main/java/org/kumquatplank/core/placement/ColdSenders.java
+++ b/core/src/main/java/org/kumquatplank/core/placement/ColdSenders.java
@@ -51,7 +51,7 @@
   void setLive(Collection<Member> live, long now) {
     for (Member member : live) {
       Candidate before = candidates.put(member.name(), new Candidate(member, now));
-      if (before == null || !before.member().equals(member)) {
+      if (before == null || !isSamePlace(before.member(), member)) {
         lastAddedAt = now;
         version++;
       }
@@ -63,6 +63,10 @@
     }
   }
 
+  private static boolean isSamePlace(Member a, Member b) {
+    return a.failureDomain().equals(b.failureDomain()) && a.region().equals(b.region());
+  }
+
   /** Returns a number that changes with the candidates. */
   long version() {
     return version;
--- a/core/src/main/java/org/kumquatplank/core/placement/ColdServer.java
+++ b/core/src/main/java/org/kumquatplank/core/placement/ColdServer.java
@@ -77,6 +77,11 @@
     coldUntil = until;
   }
 
+  /** Ends all limits. */
+  void end() {
+    coldUntil = Long.MIN_VALUE / 2;
+  }
+
   /**
    * Sets who may send.
    *
--- a/core/src/main/java/org/kumquatplank/core/placement/ColdServers.java
+++ b/core/src/main/java/org/kumquatplank/core/placement/ColdServers.java
@@ -42,6 +42,7 @@
   private final Map<String, Entry> entries = new HashMap<>();
   private final List<Change> changes = new ArrayList<>();
   private final List<Entry> limited = new ArrayList<>();
+  private final List<Entry> unapplied = new ArrayList<>();
   private long firstListAt = Long.MAX_VALUE;
 
   /**
@@ -82,10 +83,13 @@
     private final ColdServer state = new ColdServer();
     private BackendServer server;
     private long listedAt = Long.MIN_VALUE;
-    private Optional<ColdStart> designatedFor = Optional.empty();
     private long designatedVersion = -1;
+    private double designatedRate;
     private boolean cold;
 
+    /** Until when it is cold, from news that came before the configuration of its service. */
+    private long unappliedUntil = Long.MIN_VALUE;
+
     Entry(BackendServer server) {
       this.server = server;
     }
@@ -120,6 +124,7 @@
     Entry entry = entries.get(server.id());
     long until = now + server.coldRemainingMillis() * MICROS_PER_MILLI;
     if (entry == null || entry.server.startedMillis() != server.startedMillis()) {
+      limited.remove(entry);
       entry = new Entry(server);
       entries.put(server.id(), entry);
       if (until > now) {
@@ -167,7 +172,14 @@
   private void makeCold(Entry entry, long until, Source source, long now) {
     Optional<ColdStart> start = coldStarts.apply(entry.server.service());
     boolean wasCold = entry.state.isCold(now);
-    if (start.isEmpty() || (until <= now && !wasCold)) {
+    if (until <= now && !wasCold) {
+      return;
+    }
+    if (start.isEmpty()) {
+      entry.unappliedUntil = until;
+      if (!unapplied.contains(entry)) {
+        unapplied.add(entry);
+      }
       return;
     }
     entry.state.setColdUntil(Math.max(until, now));
@@ -185,12 +197,14 @@
 
   /** Updates the shares of this instance; called a few times a second. */
   private void update(long now) {
+    applyEarlierNews(now);
     limited.removeIf(entry -> !entry.state.isLimited(now));
     for (Entry entry : limited) {
       Optional<ColdStart> start = coldStarts.apply(entry.server.service());
-      boolean unchanged =
-          entry.designatedVersion == senders.version() && entry.designatedFor.equals(start);
-      if (start.isPresent() && !unchanged) {
+      if (start.isEmpty()) {
+        entry.state.end();
+      } else if (entry.designatedVersion != senders.version()
+          || entry.designatedRate != start.get().requestsPerSecond()) {
         designate(entry, start.get(), now);
       }
       if (entry.cold && !entry.state.isCold(now)) {
@@ -200,6 +214,19 @@
     }
   }
 
+  /** Applies news to services whose configuration has come since. */
+  private void applyEarlierNews(long now) {
+    for (int i = unapplied.size() - 1; i >= 0; i--) {
+      Entry entry = unapplied.get(i);
+      if (entry.unappliedUntil <= now || entries.get(entry.server.id()) != entry) {
+        unapplied.remove(i);
+      } else if (coldStarts.apply(entry.server.service()).isPresent()) {
+        unapplied.remove(i);
+        makeCold(entry, entry.unappliedUntil, Source.LIST, now);
+      }
+    }
+  }
+
   private void designate(Entry entry, ColdStart start, long now) {
     boolean settled = senders.isSettled(now);
     double bound = start.requestsPerSecond() * settings.overrunRatio() + settings.allowance();
@@ -207,7 +234,7 @@
     String region = settings.regionByFailureDomain().getOrDefault(domain, "");
     int rank = settled ? senders.rank(entry.server.id(), domain, region) : Integer.MAX_VALUE;
     entry.state.designate(ColdLimit.of(start, bound, senders.count(), senders.mayBeOthers()), rank);
-    entry.designatedFor = Optional.of(start);
+    entry.designatedRate = start.requestsPerSecond();
     // An instance that has not settled looks again.
     entry.designatedVersion = settled ? senders.version() : -1;
   }
--- a/core/src/test/java/org/kumquatplank/core/placement/ColdServersTest.java
+++ b/core/src/test/java/org/kumquatplank/core/placement/ColdServersTest.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.ColdStart;
@@ -13,12 +15,12 @@
   private static final long SECOND = 1_000_000;
   private static final ColdStart START = new ColdStart(12_000, 12);
 
-  private final ColdServers servers = create(Optional.of(START));
+  private final ColdServers servers = create(() -> Optional.of(START));
 
-  private static ColdServers create(Optional<ColdStart> start) {
+  private static ColdServers create(Supplier<Optional<ColdStart>> start) {
     return ColdServers.create(
         new ColdServers.Settings(new Member("self", "a", "r"), Map.of("a", "r"), 1.5, 5),
-        service -> start,
+        service -> start.get(),
         0);
   }
 
@@ -34,7 +36,7 @@
   @Example
   void testServerThatIsListedAtTheStartIsWarmUnlessItSaysOtherwise() {
     assertThat(servers.onListed(server(1, 0), 0).isCold(0)).isFalse();
-    ColdServer cold = create(Optional.of(START)).onListed(server(1, 3_000), 0);
+    ColdServer cold = create(() -> Optional.of(START)).onListed(server(1, 3_000), 0);
     assertThat(cold.isCold(3 * SECOND - 1)).isTrue();
     assertThat(cold.isCold(3 * SECOND)).isFalse();
   }
@@ -103,7 +105,7 @@
 
   @Example
   void testServiceWithoutAColdStartIsNotConcerned() {
-    ColdServers none = create(Optional.empty());
+    ColdServers none = create(Optional::empty);
     ColdServer state = none.onListed(server(1, 12_000), 0);
     none.onListed(server(2, 0), 30 * SECOND);
     none.onResponse(server(2, 0), 12_000, 30 * SECOND);
@@ -111,6 +113,23 @@
     assertThat(none.cold(30 * SECOND)).isEmpty();
   }
 
+  /** The list and the configuration come in any order. */
+  @Example
+  void testNewsBeforeTheConfigurationOfTheServiceIsKept() {
+    AtomicReference<Optional<ColdStart>> start = new AtomicReference<>(Optional.empty());
+    ColdServers late = create(start::get);
+    ColdServer state = late.onListed(server(1, 12_000), 0);
+    late.setMembers(List.of(), SECOND);
+    assertThat(state.isCold(SECOND)).isFalse();
+    start.set(Optional.of(START));
+    late.setMembers(List.of(), 2 * SECOND);
+    assertThat(state.isCold(12 * SECOND - 1)).isTrue();
+    assertThat(state.isCold(12 * SECOND)).isFalse();
+    start.set(Optional.empty());
+    late.setMembers(List.of(), 3 * SECOND);
+    assertThat(state.permits(3 * SECOND)).isTrue();
+  }
+
   @Example
   void testInstanceThatHasJustStartedSendsNothingUntilItKnowsItsPeers() {
     ColdServer state = servers.onListed(server(1, 30_000), 0);
