--- a/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
@@ -10,8 +10,11 @@
 import java.util.Set;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.catalog.ColdStart;
 import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.ServiceInfo;
+import org.kumquatplank.core.placement.ColdServers;
+import org.kumquatplank.core.placement.Member;
 
 class BackendSelectorTest {
   private static final Locality LOCALITY =
@@ -55,6 +58,39 @@
     assertThat(chosen).containsExactlyInAnyOrder("s1", "s2");
   }
 
+  /** A cold server in the own failure domain is used only when the distant ones have no room. */
+  @Example
+  void testColdServerIsTheLastChoice() {
+    long settled = 60_000_000;
+    registry.setServers(SERVERS);
+    ColdServers cold =
+        ColdServers.create(
+            new ColdServers.Settings(new Member("self", "a", "r"), Map.of("a", "r"), 1.5, 5),
+            service -> Optional.of(new ColdStart(12_000, 12)),
+            0);
+    for (BackendState state : registry.all()) {
+      state.setColdServer(cold.onListed(state.server(), 0));
+    }
+    cold.setMembers(List.of(), settled);
+    state("s2").markRemoved();
+    cold.onResponse(state("s1").server(), 12_000, settled);
+    long now = settled + 2_000_000;
+    DispatchRequest request = Samples.request(Samples.stream(3), "x");
+    assertThat(state("s1").takesAnother(now)).isTrue();
+    assertThat(idOf(select(request, Samples.ENGINE, now))).isEqualTo("s3");
+    for (int i = 0; i < 6; i++) {
+      state("s3").requestStarted(0);
+    }
+    assertThat(idOf(select(request, Samples.ENGINE, now))).isEqualTo("s1");
+    selector.recordSend(
+        select(request, Samples.ENGINE, now).orElseThrow(),
+        request,
+        new BackendSelector.Constraints(
+            Samples.ENGINE, Optional.of("large"), new VersionRule.Any(), Set.of(), 1),
+        now);
+    assertThat(idOf(select(request, Samples.ENGINE, now))).isEqualTo("none");
+  }
+
   /** The prefill of long prompts at an engine delays all later requests there. */
   @Example
   void testAvoidsServerWithPendingPrefill() {
