Learn the pace of each backend server and the load that it takes well

Servers of one service differ in speed, and some slow down long before their slots are in use; all were forecast alike. Each response is now compared with its forecast and with the other servers of the service, per server and load, pooled with what peers observed (BackendPace in digests), and scales the forecast that placement and waiting use. A learned limit only orders the servers and never causes a refusal.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.pace.PaceReport;
 
 /**
  * Registry of the backend servers of each service and the state that this instance tracks for each.
@@ -78,6 +79,28 @@
     }
   }
 
+  /** Takes over what a peer has observed of the pace of processes, as far as they are listed. */
+  public void addPaces(String peer, Collection<PaceReport> reports, long now) {
+    for (PaceReport report : reports) {
+      Optional.ofNullable(byId.get(report.backendId()))
+          .filter(state -> state.server().startedMillis() == report.startedMillis())
+          .ifPresent(state -> state.pace().mergePeer(peer, report, now));
+    }
+  }
+
+  /** Returns what this instance has observed of the processes that differ from their service. */
+  public List<PaceReport> ownPaces(long now) {
+    List<PaceReport> reports = new ArrayList<>();
+    for (BackendState state : byId.values()) {
+      BackendServer server = state.server();
+      state
+          .pace()
+          .ownReport(server.id(), server.startedMillis(), server.slots(), now)
+          .ifPresent(reports::add);
+    }
+    return reports;
+  }
+
   /** Replaces the in-flight load that a peer reported with its latest digest. */
   public void setPeerLoads(String peer, Collection<PeerLoad> loads, long now) {
     byId.values().forEach(state -> state.removePeerLoad(peer));
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.kumquatplank.core.catalog.ServiceInfo;
+import org.kumquatplank.core.pace.PaceTracker;
 
 /**
  * Selects the backend server with the lowest expected latency for a request.
@@ -30,6 +31,9 @@
   /** Added cost of a suspect server, which is selected only if there is no other, microseconds. */
   private static final double SUSPECT_PENALTY_MICROS = 20_000_000;
 
+  /** Added cost of a server with as many requests as it takes well, as far as is learned. */
+  private static final double LEARNED_LIMIT_PENALTY_MICROS = OTHER_REGION_COST_MICROS;
+
   /** Probability that the server that all instances prefer for a prefix has it cached. */
   private static final double PREFERRED_HIT_RATIO = 0.6;
 
@@ -41,6 +45,7 @@
 
   private final Locality locality;
   private final PrefillRate prefillRate;
+  private final PaceTracker paceTracker = PaceTracker.create();
   private final PrefixCacheTracker prefixCache = new PrefixCacheTracker();
   private int rotation;
 
@@ -61,12 +66,16 @@
    * @param expectedLatencyMicros expected time to the first event or the response, microseconds
    * @param queueWaitMicros queue wait within that time, microseconds
    * @param prefillTokens prompt tokens that are expected to need prefill
+   * @param usualMicros time expected of a usual server at the same load, without distance
+   * @param concurrentRequests other requests at the server
    */
   public record Selection(
       BackendState backend,
       double expectedLatencyMicros,
       double queueWaitMicros,
-      int prefillTokens) {}
+      int prefillTokens,
+      double usualMicros,
+      int concurrentRequests) {}
 
   /**
    * Constraints of a selection besides the request.
@@ -168,11 +177,14 @@
       int slots = Math.max(1, state.server().slots());
       double queuedPerSlot = Math.max(0, inFlight + 1 - slots) / (double) slots;
       double utilization = (double) inFlight / slots;
-      double latencyMicros =
-          PLAIN_REQUEST_MICROS * slowdown * (1 + queuedPerSlot + 0.1 * utilization)
-              + distanceMicros;
+      double usualMicros = PLAIN_REQUEST_MICROS * (1 + queuedPerSlot + 0.1 * utilization);
       return new Selection(
-          state, latencyMicros, PLAIN_REQUEST_MICROS * slowdown * queuedPerSlot, 0);
+          state,
+          usualMicros * slowdown + distanceMicros,
+          PLAIN_REQUEST_MICROS * slowdown * queuedPerSlot,
+          0,
+          usualMicros,
+          state.concurrentRequests(now));
     }
     String model = constraints.model().orElse("");
     int tokens = prefillTokens(state, servers, request, model, now);
@@ -182,7 +194,12 @@
     double queueWaitMicros =
         pendingPrefillMicros + inFlight * PER_IN_FLIGHT_REQUEST_MICROS * slowdown;
     return new Selection(
-        state, queueWaitMicros + prefillMicros + distanceMicros, queueWaitMicros, tokens);
+        state,
+        queueWaitMicros + prefillMicros + distanceMicros,
+        queueWaitMicros,
+        tokens,
+        (queueWaitMicros + prefillMicros) / slowdown,
+        state.concurrentRequests(now));
   }
 
   private double cost(Selection selection, BackendState state, DispatchRequest request, long now) {
@@ -190,6 +207,11 @@
     double cost =
         selection.expectedLatencyMicros()
             + repeatedTokens * REPEATED_PREFILL_FACTOR * MICROS_PER_MILLI / 100;
+    double need = paceTracker.needOfSlowServers(request.service());
+    cost -= need * (state.learnedSlowdown(now) - 1) * selection.usualMicros();
+    if (state.isAtLearnedLimit(now)) {
+      cost += LEARNED_LIMIT_PENALTY_MICROS;
+    }
     return state.isSuspect(now) ? cost + SUSPECT_PENALTY_MICROS : cost;
   }
 
@@ -263,4 +285,28 @@
   public void recordFirstEvent(Selection selection, Optional<String> model, long micros) {
     prefillRate.recordPrefill(model.orElse(""), selection.prefillTokens(), micros);
   }
+
+  /**
+   * Records how long a warm backend server took for the first event or the response.
+   *
+   * @param micros time since the send, microseconds
+   */
+  public void recordPace(
+      Selection selection, DispatchRequest request, Optional<String> model, long micros, long now) {
+    BackendState state = selection.backend();
+    Optional<LoadReport> report = state.freshLoadReport(now);
+    double reported = report.map(LoadReport::slowdownFactor).orElse(1.0);
+    int requests = report.map(r -> r.running() + r.queued()).orElse(selection.concurrentRequests());
+    paceTracker.record(
+        state.pace(),
+        new PaceTracker.Sample(
+            request.service(),
+            model,
+            selection.usualMicros(),
+            micros - state.roundTripMicros(),
+            requests,
+            state.server().slots(),
+            reported),
+        now);
+  }
 }
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.kumquatplank.core.catalog.BackendServer;
+import org.kumquatplank.core.pace.ServerPace;
 
 /**
  * State of one backend server: in-flight requests, reported load and failure suspicion.
@@ -44,6 +45,8 @@
   private boolean leaving;
   private long backOffUntil = Long.MIN_VALUE;
   private int rampLimit = Integer.MAX_VALUE;
+  private final ServerPace pace = ServerPace.unknown();
+  private long roundTripMicros;
 
   BackendState(BackendServer server) {
     this.server = server;
@@ -229,9 +232,49 @@
         : Optional.empty();
   }
 
-  /** Returns the current slowdown of the server, 1 being normal. */
+  /** Returns the current slowdown of the server: the learned one and that of this moment. */
   public double slowdownFactor(long now) {
-    return freshLoadReport(now).map(LoadReport::slowdownFactor).orElse(1.0);
+    double moment =
+        freshLoadReport(now).map(r -> pace.momentarySlowdown(r.slowdownFactor())).orElse(1.0);
+    return moment * learnedSlowdown(now);
+  }
+
+  /** Returns by how much the server is slower than the others of its service at its load. */
+  double learnedSlowdown(long now) {
+    return pace.slowdown(concurrentRequests(now), server.slots(), now);
+  }
+
+  /** Returns the learned slowdown in percent, 100 being normal. */
+  public long learnedSlowdownPercent(long now) {
+    return Math.round(100 * learnedSlowdown(now));
+  }
+
+  /** Returns what is known of the speed of the server. */
+  public ServerPace pace() {
+    return pace;
+  }
+
+  /** Returns the requests at the server: those that are known of, or more if it reported more. */
+  public int concurrentRequests(long now) {
+    int known = totalInFlightRequests(now);
+    return freshLoadReport(now).map(r -> Math.max(known, r.running() + r.queued())).orElse(known);
+  }
+
+  /** Returns whether the server has as many requests as it takes well, but fewer than its slots. */
+  boolean isAtLearnedLimit(long now) {
+    int limit = pace.limit(server.slots(), now);
+    return limit < server.slots() && concurrentRequests(now) >= limit;
+  }
+
+  /** Records the time that opening a connection took, which is a round trip of the link. */
+  public void recordConnectTime(long micros) {
+    boolean isLonger = roundTripMicros > 0 && micros > roundTripMicros;
+    roundTripMicros = isLonger ? roundTripMicros + (micros - roundTripMicros) / 5 : micros;
+  }
+
+  /** Returns the round trip of the link to the server, microseconds, 0 if unknown. */
+  public long roundTripMicros() {
+    return roundTripMicros;
   }
 
   /** Replaces the load reported by a peer. */
--- a/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
+++ b/core/src/test/java/org/kumquatplank/core/dispatch/BackendSelectorTest.java
@@ -12,6 +12,7 @@
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.catalog.ServiceInfo;
+import org.kumquatplank.core.pace.PaceReport;
 
 class BackendSelectorTest {
   private static final Locality LOCALITY =
@@ -156,4 +157,68 @@
     assertThat(before.isClosed()).isTrue();
     assertThat(state("s1").inFlightRequests()).isZero();
   }
+
+  private void reportPace(String id, int slowdownPercent, int limit) {
+    for (int peer = 0; peer < 4; peer++) {
+      registry.addPaces(
+          "peer" + peer, List.of(new PaceReport(id, 1, slowdownPercent, limit, 6)), 0);
+    }
+  }
+
+  /** A learned limit prefers other servers, but never causes a refusal. */
+  @Example
+  void testServersAtTheirLearnedLimitAreUsedUpToTheirSlots() {
+    registry.setServers(SERVERS.subList(0, 2));
+    reportPace("s1", 100, 2);
+    for (int i = 0; i < 2; i++) {
+      state("s1").requestStarted(0);
+    }
+    for (int i = 0; i < 5; i++) {
+      state("s2").requestStarted(0);
+    }
+    DispatchRequest request = Samples.request(Samples.stream(3), "x");
+    assertThat(idOf(select(request, Samples.ENGINE, 0))).isEqualTo("s2");
+    state("s2").requestStarted(0);
+    assertThat(idOf(select(request, Samples.ENGINE, 0))).isEqualTo("s1");
+    for (int i = 2; i < 6; i++) {
+      assertThat(select(request, Samples.ENGINE, 0)).isPresent();
+      state("s1").requestStarted(0);
+    }
+    assertThat(select(request, Samples.ENGINE, 0)).isEmpty();
+  }
+
+  @Example
+  void testExpectsMoreTimeOfSlowServer() {
+    registry.setServers(SERVERS.subList(0, 1));
+    DispatchRequest request = Samples.request(Samples.stream(3), "x");
+    double usual = select(request, Samples.ENGINE, 0).orElseThrow().expectedLatencyMicros();
+    reportPace("s1", 200, 0);
+    BackendSelector.Selection slow = select(request, Samples.ENGINE, 300_000).orElseThrow();
+    assertThat(slow.expectedLatencyMicros()).isBetween(1.4 * usual, 2.1 * usual);
+    assertThat(slow.usualMicros()).isBetween(0.99 * usual, 1.01 * usual);
+  }
+
+  /** A slow new version must get its share, so that its trial shows that it is slow. */
+  @Example
+  void testSlowVersionOnTrialGetsItsShare() {
+    registry.setServers(
+        List.of(Samples.server("s1", "pool", "a", "v1"), Samples.server("s2", "pool", "a", "v2")));
+    reportPace("s2", 400, 1);
+    state("s2").requestStarted(0);
+    BackendSelector.Constraints trial =
+        new BackendSelector.Constraints(
+            Samples.ENGINE,
+            Optional.of("large"),
+            new VersionRule.Trial("v2", 0.5, true),
+            Set.of(),
+            1);
+    int onTrial = 0;
+    for (int i = 0; i < 200; i++) {
+      DispatchRequest request = Samples.request(Samples.stream(3), "x" + i);
+      boolean isTrial =
+          idOf(selector.select(registry.forService("pool"), request, trial, 0)).equals("s2");
+      onTrial += isTrial ? 1 : 0;
+    }
+    assertThat(onTrial).isBetween(80, 120);
+  }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -136,6 +136,9 @@
       selection.backend().recordMisdirected(newHead.backendId(), lastProgressAt);
     }
     markPrefillDone();
+    if (newHead.isSuccess() && newHead.hasSeal()) {
+      exchange.dispatcher().outcomes().onPace(exchange, this, newHead);
+    }
     exchange.onHead(this, newHead);
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
@@ -122,6 +122,7 @@
     BackendConnection connection = new BackendConnection(this, key);
     states.put(key, state);
     state.connectionOpened();
+    long openedAt = Clock.micros();
     new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
@@ -143,6 +144,7 @@
         .addListener(
             future -> {
               if (future.isSuccess()) {
+                state.recordConnectTime(Clock.micros() - openedAt);
                 onOpen.accept(connection);
               } else {
                 state.connectionClosed();
--- a/edge/src/main/java/org/kumquatplank/edge/CallOutcomes.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallOutcomes.java
@@ -40,6 +40,18 @@
     }
   }
 
+  /** Records how long a backend server took, unless it is cold and slower for that reason. */
+  void onPace(Exchange exchange, BackendCall call, BackendResponseHead response) {
+    boolean cold =
+        response.coldRemainingMillis().orElse(0) > 0
+            || call.selection().backend().server().coldRemainingMillis() > 0;
+    if (!cold) {
+      long now = Clock.micros();
+      long micros = now - call.sentAt();
+      selector.recordPace(call.selection(), exchange.request(), exchange.model(), micros, now);
+    }
+  }
+
   void onEscalated(Exchange exchange, BackendCall call, OptionalInt confidence, String larger) {
     metrics.count("escalated");
     ExchangeLog.escalated(exchange, confidence, larger);
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -74,6 +74,7 @@
   private volatile TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
   private final Set<LeavingServer> receivedLeaving = new HashSet<>();
+  private final PaceExchange paces = new PaceExchange();
   private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
   private final long startedAt = Clock.micros();
@@ -314,6 +315,7 @@
     if (!trafficReport.crashEvidence().isEmpty()) {
       digest.setCrashEvidence(CrashEvidenceCodec.encode(trafficReport.crashEvidence(), now));
     }
+    paces.addTo(digest, trafficReport.paces());
     rollouts.addTo(digest, now);
     directory.send(digest, now);
   }
@@ -344,6 +346,7 @@
     for (LeavingBackend server : digest.getLeavingBackendsList()) {
       receivedLeaving.add(new LeavingServer(server.getBackend(), server.getStartedMillis()));
     }
+    paces.onDigest(digest);
     if (digest.hasCrashEvidence()) {
       dataPlane.mergeCrashEvidence(CrashEvidenceCodec.decode(digest.getCrashEvidence(), now));
     }
@@ -370,6 +373,7 @@
             1 + live.size(),
             receivedLoads,
             receivedLeaving,
+            paces.takeReceived(),
             sendsTrials,
             operatorRecords.status().confirmedAt()));
     receivedLoads.clear();
--- a/edge/src/main/java/org/kumquatplank/edge/ControlReport.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlReport.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.PeerLoad;
+import org.kumquatplank.core.pace.PaceReport;
 import org.kumquatplank.link.proto.EdgeDigest;
 
 /**
@@ -16,6 +17,7 @@
  * @param liveInstances number of live instances including this one
  * @param loads in-flight load of the peers that reported it since the last report, by instance
  * @param leaving backend servers that peers reported to leave since the last report
+ * @param paces pace of backend servers that peers observed since the last report, by instance
  * @param sendsTrials whether this instance is the one that sends trials of blocked segments
  * @param catalogConfirmedAt when the configuration was last confirmed, microseconds
  */
@@ -24,11 +26,13 @@
     int liveInstances,
     Map<String, List<PeerLoad>> loads,
     Set<LeavingServer> leaving,
+    Map<String, List<PaceReport>> paces,
     boolean sendsTrials,
     long catalogConfirmedAt) {
   ControlReport {
     readyPeers = List.copyOf(readyPeers);
     loads = Map.copyOf(loads);
     leaving = Set.copyOf(leaving);
+    paces = Map.copyOf(paces);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -177,6 +177,7 @@
           dispatcher.setLiveInstances(report.liveInstances());
           report.loads().forEach(dispatcher::setPeerLoads);
           dispatcher.addLeaving(report.leaving());
+          report.paces().forEach(dispatcher.paces()::add);
           dispatcher.crashDetector().setSendsTrials(report.sendsTrials());
           dispatcher.catalog().setConfirmedAt(report.catalogConfirmedAt());
         });
@@ -201,6 +202,7 @@
     return new TrafficReport(
         dispatcher.ownLoads(),
         dispatcher.leaving(),
+        dispatcher.paces().update(Clock.micros()),
         dispatcher.versionStats(),
         dispatcher.crashDetector().evidence(),
         dispatcher.isReady());
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -55,6 +55,7 @@
   private final CrashDetector crashDetector;
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
   private final CallOutcomes outcomes;
+  private final PaceMonitor paces;
   private final RetryLimits retryLimits;
   private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -73,6 +74,7 @@
             registry,
             BackendSelector.create(
                 new Locality(settings.zone(), settings.regions()), new PrefillRate()));
+    this.paces = new PaceMonitor(registry, metrics);
     this.retryLimits = new RetryLimits(settings.limits(), metrics);
     this.outcomes = new CallOutcomes(pool, choice.selector(), metrics);
   }
@@ -105,6 +107,10 @@
     registry.addLeaving(leaving);
   }
 
+  PaceMonitor paces() {
+    return paces;
+  }
+
   CallOutcomes outcomes() {
     return outcomes;
   }
--- a/edge/src/main/java/org/kumquatplank/edge/TrafficReport.java
+++ b/edge/src/main/java/org/kumquatplank/edge/TrafficReport.java
@@ -5,6 +5,7 @@
 import org.kumquatplank.core.dispatch.CrashEvidence;
 import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.PeerLoad;
+import org.kumquatplank.core.pace.PaceReport;
 import org.kumquatplank.core.rollout.VersionStats;
 
 /**
@@ -14,6 +15,7 @@
  *
  * @param loads in-flight load of this instance per backend server
  * @param leaving backend servers that are known to leave
+ * @param paces pace of backend servers that differ from their service, as this instance observed
  * @param evidence responses per version since the start, and in-flight requests
  * @param crashEvidence crashes of backend servers that are known
  * @param ready whether requests can be served
@@ -21,15 +23,17 @@
 record TrafficReport(
     List<PeerLoad> loads,
     List<LeavingServer> leaving,
+    List<PaceReport> paces,
     Map<VersionCounts.Key, VersionStats> evidence,
     CrashEvidence crashEvidence,
     boolean ready) {
   static final TrafficReport NOTHING =
-      new TrafficReport(List.of(), List.of(), Map.of(), CrashEvidence.NONE, false);
+      new TrafficReport(List.of(), List.of(), List.of(), Map.of(), CrashEvidence.NONE, false);
 
   TrafficReport {
     loads = List.copyOf(loads);
     leaving = List.copyOf(leaving);
+    paces = List.copyOf(paces);
     evidence = Map.copyOf(evidence);
   }
 }
