--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -67,15 +67,13 @@
    * @param queueWaitMicros queue wait within that time, microseconds
    * @param prefillTokens prompt tokens that are expected to need prefill
    * @param usualMicros time expected of a usual server at the same load, without distance
-   * @param concurrentRequests other requests at the server
    */
   public record Selection(
       BackendState backend,
       double expectedLatencyMicros,
       double queueWaitMicros,
       int prefillTokens,
-      double usualMicros,
-      int concurrentRequests) {}
+      double usualMicros) {}
 
   /**
    * Constraints of a selection besides the request.
@@ -183,8 +181,7 @@
           usualMicros * slowdown + distanceMicros,
           PLAIN_REQUEST_MICROS * slowdown * queuedPerSlot,
           0,
-          usualMicros,
-          state.concurrentRequests(now));
+          usualMicros);
     }
     String model = constraints.model().orElse("");
     int tokens = prefillTokens(state, servers, request, model, now);
@@ -198,8 +195,7 @@
         queueWaitMicros + prefillMicros + distanceMicros,
         queueWaitMicros,
         tokens,
-        (queueWaitMicros + prefillMicros) / slowdown,
-        state.concurrentRequests(now));
+        (queueWaitMicros + prefillMicros) / slowdown);
   }
 
   private double cost(Selection selection, BackendState state, DispatchRequest request, long now) {
@@ -207,8 +203,11 @@
     double cost =
         selection.expectedLatencyMicros()
             + repeatedTokens * REPEATED_PREFILL_FACTOR * MICROS_PER_MILLI / 100;
-    double need = paceTracker.needOfSlowServers(request.service());
-    cost -= need * (state.learnedSlowdown(now) - 1) * selection.usualMicros();
+    double learned = state.learnedSlowdown(now);
+    if (learned != 1) {
+      double need = paceTracker.needOfSlowServers(request.service());
+      cost -= need * (learned - 1) * selection.usualMicros();
+    }
     if (state.isAtLearnedLimit(now)) {
       cost += LEARNED_LIMIT_PENALTY_MICROS;
     }
@@ -296,7 +295,7 @@
     BackendState state = selection.backend();
     Optional<LoadReport> report = state.freshLoadReport(now);
     double reported = report.map(LoadReport::slowdownFactor).orElse(1.0);
-    int requests = report.map(r -> r.running() + r.queued()).orElse(selection.concurrentRequests());
+    int requests = report.map(r -> r.running() + r.queued()).orElse(state.concurrentRequests(now));
     paceTracker.record(
         state.pace(),
         new PaceTracker.Sample(
--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendState.java
@@ -241,7 +241,7 @@
 
   /** Returns by how much the server is slower than the others of its service at its load. */
   double learnedSlowdown(long now) {
-    return pace.slowdown(concurrentRequests(now), server.slots(), now);
+    return pace.slowdown(() -> concurrentRequests(now), server.slots(), now);
   }
 
   /** Returns the learned slowdown in percent, 100 being normal. */
--- a/core/src/main/java/org/kumquatplank/core/pace/PeerPaces.java
+++ b/core/src/main/java/org/kumquatplank/core/pace/PeerPaces.java
@@ -1,7 +1,6 @@
 package org.kumquatplank.core.pace;
 
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.OptionalDouble;
 
 /**
@@ -23,6 +22,9 @@
   /** The same for the only peer that reports on the server. */
   private static final int MAX_SAMPLES_OF_ONLY_PEER = 2;
 
+  /** Reports from which on the highest and the lowest one are left out. */
+  private static final int MIN_TRIMMED_REPORTS = 4;
+
   /** Largest deviation that a report may claim, as a logarithm of a ratio. */
   private static final double MAX_DEVIATION = 1.5;
 
@@ -56,28 +58,42 @@
     entries[slot] = new Entry(peer, report, now);
   }
 
-  /** Returns the responses behind the reports and the weighted median of their deviations. */
+  /**
+   * Returns the responses behind the reports and their mean deviation, without the highest and the
+   * lowest one of several reports.
+   */
   PaceEvidence.Mean mean(long now) {
-    Entry[] sorted = new Entry[MAX_REPORTS];
+    Entry lowest = null;
+    Entry highest = null;
     int count = 0;
-    double total = 0;
+    double samples = 0;
+    double sum = 0;
     for (Entry entry : entries) {
-      if (entry != null && entry.weight(now) > 0) {
-        total += entry.weight(now);
-        sorted[count++] = entry;
+      double weight = entry == null ? 0 : entry.weight(now);
+      if (weight == 0) {
+        continue;
       }
+      count++;
+      samples += weight;
+      sum += weight * entry.deviation();
+      lowest = lowest == null || entry.deviation() < lowest.deviation() ? entry : lowest;
+      highest = highest == null || entry.deviation() >= highest.deviation() ? entry : highest;
     }
     if (count == 0) {
       return new PaceEvidence.Mean(0, 0);
     }
-    Arrays.sort(sorted, 0, count, Comparator.comparingDouble(Entry::deviation));
-    double below = 0;
-    int median = 0;
-    while (median < count - 1 && below + sorted[median].weight(now) < total / 2) {
-      below += sorted[median++].weight(now);
+    double mean = sum / samples;
+    if (count == 1) {
+      return new PaceEvidence.Mean(Math.min(MAX_SAMPLES_OF_ONLY_PEER, samples), mean);
+    }
+    if (count >= MIN_TRIMMED_REPORTS) {
+      for (Entry outlier : new Entry[] {lowest, highest}) {
+        samples -= outlier.weight(now);
+        sum -= outlier.weight(now) * outlier.deviation();
+      }
+      mean = sum / samples;
     }
-    double samples = count == 1 ? Math.min(MAX_SAMPLES_OF_ONLY_PEER, total) : total;
-    return new PaceEvidence.Mean(samples, sorted[median].deviation());
+    return new PaceEvidence.Mean(samples, mean);
   }
 
   /** Returns the median of the limits that at least two peers have found, or nothing. */
--- a/core/src/main/java/org/kumquatplank/core/pace/ServerPace.java
+++ b/core/src/main/java/org/kumquatplank/core/pace/ServerPace.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.function.IntSupplier;
 import org.kumquatplank.core.pace.PaceEvidence.Mean;
 
 /**
@@ -17,13 +18,11 @@
   /** Multiple of the standard error that is subtracted from a deviation. */
   private static final double ERROR_MARGIN = 1.5;
 
-  /** Multiple of the standard error from which a deviation is reported to peers. */
-  private static final double REPORT_SIGNIFICANCE = 2;
+  /** Time after a response for which its server is reported to peers: four digests. */
+  private static final long REPORTED_MICROS = 2_000_000;
 
-  /** Smallest deviation that is reported, as a logarithm of a ratio (factor 1.35). */
-  private static final double MIN_REPORTED_DEVIATION = 0.3;
-
-  private static final double MIN_REPORTED_SAMPLES = 1.5;
+  /** Weight of responses of the usual latency that are assumed in addition. */
+  private static final double PRIOR_SAMPLES = 0.75;
 
   /** Step to which a deviation is rounded, so that servers of about the same speed are equal. */
   private static final double ROUNDING_STEP = 0.2;
@@ -45,7 +44,9 @@
   private final PaceEvidence evidence = new PaceEvidence();
   private PeerPaces peers;
   private boolean hasEvidence;
+  private long recordedAt = Long.MIN_VALUE / 2;
   private double usualReported;
+  private double usualReportedFactor = 1;
   private long refreshedAt = Long.MIN_VALUE;
   private int knee = LoadBand.COUNT;
   private double slowdownBelow = 1;
@@ -65,7 +66,7 @@
    * @param reportedSlowdown slowdown that the server reports, 1 being normal
    */
   public double momentarySlowdown(double reportedSlowdown) {
-    return reportedSlowdown / Math.exp(usualReported);
+    return reportedSlowdown / usualReportedFactor;
   }
 
   /** Records a slowdown that the server reported, and returns the logarithm of its excess. */
@@ -73,12 +74,14 @@
     double reported = Math.log(Math.max(0.01, reportedSlowdown));
     double excess = reported - usualReported;
     usualReported += Math.clamp(excess, -REPORTED_STEP, REPORTED_STEP);
+    usualReportedFactor = Math.exp(usualReported);
     return excess;
   }
 
   /** Records how far a response was from the usual latency at the same load. */
   void record(int band, double deviation, double spread, long now) {
     evidence.add(band, deviation, spread, now);
+    recordedAt = now;
     hasEvidence = true;
   }
 
@@ -91,13 +94,14 @@
     hasEvidence = true;
   }
 
-  /** Returns the latency at a load as a multiple of that of the service at the same load. */
-  public double slowdown(int requests, int slots, long now) {
-    if (!hasEvidence) {
-      return 1;
-    }
-    refresh(slots, now);
-    return requests >= limit(slots, now) ? slowdownAbove : slowdownBelow;
+  /**
+   * Returns the latency at a load as a multiple of that of the service at the same load.
+   *
+   * @param requests concurrent requests; asked only for a server that has a limit
+   */
+  public double slowdown(IntSupplier requests, int slots, long now) {
+    int limit = limit(slots, now);
+    return limit < slots && requests.getAsInt() >= limit ? slowdownAbove : slowdownBelow;
   }
 
   /** Returns the number of concurrent requests that the server takes well, at least 1. */
@@ -121,7 +125,8 @@
     double samples = below.samples() + heard.samples();
     double deviation =
         samples > 0
-            ? (below.samples() * below.deviation() + heard.samples() * heard.deviation()) / samples
+            ? (below.samples() * below.deviation() + heard.samples() * heard.deviation())
+                / (samples + PRIOR_SAMPLES)
             : 0;
     slowdownBelow = factor(significant(new Mean(samples, deviation)));
     Mean above = evidence.mean(knee, LoadBand.COUNT, now);
@@ -155,22 +160,17 @@
   }
 
   /**
-   * Returns what this instance itself has observed, if the server clearly differs from the others.
+   * Returns what this instance itself has observed, if that is recent.
+   *
+   * <p>A server of the usual pace is reported as well: if only those were reported that seem to
+   * differ, chance differences would add up at the peers.
    */
   public Optional<PaceReport> ownReport(String id, long startedMillis, int slots, long now) {
-    if (!hasEvidence) {
+    if (now - recordedAt >= REPORTED_MICROS) {
       return Optional.empty();
     }
     refresh(slots, now);
     Mean own = evidence.mean(0, knee, now);
-    double size = Math.abs(own.deviation());
-    boolean differs =
-        own.samples() >= MIN_REPORTED_SAMPLES
-            && size >= MIN_REPORTED_DEVIATION
-            && size >= REPORT_SIGNIFICANCE * evidence.spread() / Math.sqrt(own.samples());
-    if (!differs && knee == LoadBand.COUNT) {
-      return Optional.empty();
-    }
     int limit = knee == LoadBand.COUNT ? 0 : LoadBand.firstRequest(knee, slots);
     return Optional.of(
         new PaceReport(
--- a/core/src/main/java/org/kumquatplank/core/pace/ServicePrior.java
+++ b/core/src/main/java/org/kumquatplank/core/pace/ServicePrior.java
@@ -17,7 +17,7 @@
   private static final int MAX_MODELS = 32;
 
   /** Samples of a model before which its responses are not compared. */
-  private static final int MIN_SAMPLES = 4;
+  private static final int MIN_SAMPLES = 12;
 
   /**
    * Steps of the median that follows changes of the whole service, as a logarithm of a ratio. They
@@ -29,6 +29,9 @@
   private static final double LEVEL_STEP_GROWTH = 1.5;
   private static final double LEVEL_STEP_SHRINKAGE = 0.5;
 
+  /** Step above which the whole service seems to change, so that no single server is blamed. */
+  private static final double MAX_ATTRIBUTED_STEP = 0.12;
+
   /** Step of the median of a model, which changes little. */
   private static final double MODEL_STEP = 0.03;
 
@@ -91,7 +94,7 @@
     byBand[band] += BAND_STEP * Math.signum(deviation);
     double clamped = Math.clamp(deviation, -MAX_DEVIATION, MAX_DEVIATION);
     meanDeviation += SPREAD_SMOOTHING * (Math.abs(clamped) - meanDeviation);
-    return Optional.of(clamped);
+    return levelStep > MAX_ATTRIBUTED_STEP ? Optional.empty() : Optional.of(clamped);
   }
 
   private void moveLevel(double sign) {
--- a/core/src/test/java/org/kumquatplank/core/pace/PaceModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/pace/PaceModelTest.java
@@ -78,12 +78,12 @@
   @Property(tries = 3)
   void testInstancesConvergeWithoutOscillation(@ForAll @IntRange(max = 2) int size) {
     PaceSimulation.Speed speed = (server, running, now) -> server == 0 ? 2 : 1;
-    PaceSimulation learned = PaceSimulation.run(instances(size), 0.7, 40, true, speed);
-    for (int second = 12; second < 40; second += 2) {
-      double[] shares = learned.shares(second, second + 2);
-      assertThat(shares[0]).isLessThan(0.12);
+    PaceSimulation learned = PaceSimulation.run(instances(size), 0.55, 40, true, speed);
+    for (int second = 19; second < 40; second += 3) {
+      double[] shares = learned.shares(second, second + 3);
+      assertThat(shares[0]).isLessThan(0.08);
       for (int server = 1; server < 6; server++) {
-        assertThat(shares[server]).isBetween(0.10, 0.30);
+        assertThat(shares[server]).isBetween(0.13, 0.26);
       }
     }
   }
--- a/core/src/test/java/org/kumquatplank/core/pace/PaceSimulation.java
+++ b/core/src/test/java/org/kumquatplank/core/pace/PaceSimulation.java
@@ -251,7 +251,7 @@
   /** Returns the mean slowdown that the instances expect of a server at the end. */
   double meanSlowdown(int server) {
     return states(server).stream()
-        .mapToDouble(s -> s.pace().slowdown(1, SLOTS, end))
+        .mapToDouble(s -> s.pace().slowdown(() -> 1, SLOTS, end))
         .average()
         .orElseThrow();
   }
--- a/core/src/test/java/org/kumquatplank/core/pace/ServerPaceTest.java
+++ b/core/src/test/java/org/kumquatplank/core/pace/ServerPaceTest.java
@@ -28,7 +28,7 @@
 
   @Example
   void testServerOfWhichNothingIsKnownIsUsual() {
-    assertThat(pace.slowdown(3, SLOTS, 0)).isEqualTo(1);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 0)).isEqualTo(1);
     assertThat(pace.limit(SLOTS, 0)).isEqualTo(16);
     assertThat(pace.ownReport("s0", 1, SLOTS, 0)).isEmpty();
   }
@@ -36,21 +36,28 @@
   @Example
   void testOneSlowResponseIsNotEvidence() {
     record(1, 2, 0.5, 0);
-    assertThat(pace.slowdown(3, SLOTS, 0)).isEqualTo(1);
-    assertThat(pace.ownReport("s0", 1, SLOTS, 0)).isEmpty();
+    assertThat(pace.slowdown(() -> 3, SLOTS, 0)).isEqualTo(1);
+  }
+
+  /** Reports of servers that seem to differ, and of no others, would make noise look like more. */
+  @Example
+  void testEveryServerThatRespondedRecentlyIsReported() {
+    record(1, 2, 0.01, 0);
+    assertThat(pace.ownReport("s0", 1, SLOTS, 1 * SECOND)).contains(report(101, 0, 1));
+    assertThat(pace.ownReport("s0", 1, SLOTS, 2 * SECOND)).isEmpty();
   }
 
   @Example
   void testManySlowResponsesAreEvidence() {
     record(10, 2, 0.7, 0);
-    assertThat(pace.slowdown(3, SLOTS, 0)).isBetween(1.4, 2.0);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 0)).isBetween(1.4, 2.0);
     assertThat(pace.ownReport("s0", 1, SLOTS, 0)).contains(report(201, 0, 10));
   }
 
   @Example
   void testServerWithoutResponsesDriftsBackToTheUsualPace() {
     record(10, 2, 0.7, 0);
-    assertThat(pace.slowdown(3, SLOTS, 25 * SECOND)).isEqualTo(1);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 25 * SECOND)).isEqualTo(1);
   }
 
   @Example
@@ -75,15 +82,15 @@
     for (int peer = 0; peer < 4; peer++) {
       pace.mergePeer("i" + peer, report(200, 0, 4), 0);
     }
-    assertThat(pace.slowdown(3, SLOTS, 0)).isBetween(1.4, 2.0);
-    assertThat(pace.slowdown(3, SLOTS, 9 * SECOND)).isEqualTo(1);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 0)).isBetween(1.4, 2.0);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 9 * SECOND)).isEqualTo(1);
   }
 
   @Example
   void testOnePeerDoesNotDecide() {
     pace.mergePeer("i0", report(100_000, 1, 1_000_000), 0);
     record(12, 2, 0, 0);
-    assertThat(pace.slowdown(3, SLOTS, 0)).isLessThan(1.25);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 0)).isLessThan(1.25);
     assertThat(pace.limit(SLOTS, 0)).isEqualTo(16);
   }
 
@@ -140,7 +147,7 @@
               "pool", Optional.of("large"), forecast, forecast * 1.3, i % SLOTS, SLOTS, 1),
           0);
     }
-    assertThat(pace.slowdown(3, SLOTS, 0)).isEqualTo(1);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 0)).isEqualTo(1);
   }
 
   /** What slows all servers alike, such as a lack of processor time here, is no slow server. */
@@ -154,6 +161,6 @@
           new PaceTracker.Sample("desk", Optional.empty(), 50_000, observed, 1, SLOTS, 1),
           i * SECOND / 10);
     }
-    assertThat(pace.slowdown(3, SLOTS, 13 * SECOND)).isEqualTo(1);
+    assertThat(pace.slowdown(() -> 3, SLOTS, 13 * SECOND)).isEqualTo(1);
   }
 }
