--- a/core/src/test/java/org/kumquatplank/core/pace/ServerPaceTest.java
+++ b/core/src/test/java/org/kumquatplank/core/pace/ServerPaceTest.java
@@ -67,7 +67,7 @@
     for (int i = 0; i < 30; i++) {
       faster.record(2, -0.5, SPREAD, 0);
     }
-    assertThat(faster.slowdown(() -> 3, SLOTS, 0)).isLessThan(0.85);
+    assertThat(faster.slowdown(() -> 3, SLOTS, SECOND / 2)).isLessThan(0.85);
   }
 
   @Example
