--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.ServiceInfo;
+import org.kumquatplank.core.pace.PaceTracker;
 import org.kumquatplank.core.placement.Placement;
 import org.kumquatplank.core.placement.PlacementRules;
 
@@ -37,6 +38,9 @@
   /** Added cost of a cold server, which is slow; it is selected if the others have no room. */
   private static final double COLD_PENALTY_MICROS = 5_000_000;
 
+  /** Added cost of a server with as many requests as it takes well, as far as is learned. */
+  private static final double LEARNED_LIMIT_PENALTY_MICROS = OTHER_REGION_COST_MICROS;
+
   /** Probability that the server that all instances prefer for a prefix has it cached. */
   private static final double PREFERRED_HIT_RATIO = 0.6;
 
@@ -48,6 +52,7 @@
 
   private final Locality locality;
   private final PrefillRate prefillRate;
+  private final PaceTracker paceTracker = PaceTracker.create();
   private final PrefixCacheTracker prefixCache = new PrefixCacheTracker();
   private int rotation;
 
@@ -68,12 +73,14 @@
    * @param expectedLatencyMicros expected time to the first event or the response, microseconds
    * @param queueWaitMicros queue wait within that time, microseconds
    * @param prefillTokens prompt tokens that are expected to need prefill
+   * @param usualMicros time expected of a usual server at the same load, without distance
    */
   public record Selection(
       BackendState backend,
       double expectedLatencyMicros,
       double queueWaitMicros,
-      int prefillTokens) {}
+      int prefillTokens,
+      double usualMicros) {}
 
   /**
    * Constraints of a selection besides the request.
@@ -211,11 +218,13 @@
       int slots = Math.max(1, state.server().slots());
       double queuedPerSlot = Math.max(0, inFlight + 1 - slots) / (double) slots;
       double utilization = (double) inFlight / slots;
-      double latencyMicros =
-          PLAIN_REQUEST_MICROS * slowdown * (1 + queuedPerSlot + 0.1 * utilization)
-              + distanceMicros;
+      double usualMicros = PLAIN_REQUEST_MICROS * (1 + queuedPerSlot + 0.1 * utilization);
       return new Selection(
-          state, latencyMicros, PLAIN_REQUEST_MICROS * slowdown * queuedPerSlot, 0);
+          state,
+          usualMicros * slowdown + distanceMicros,
+          PLAIN_REQUEST_MICROS * slowdown * queuedPerSlot,
+          0,
+          usualMicros);
     }
     String model = constraints.model().orElse("");
     int tokens = prefillTokens(state, servers, request, constraints, now);
@@ -225,7 +234,11 @@
     double queueWaitMicros =
         pendingPrefillMicros + inFlight * PER_IN_FLIGHT_REQUEST_MICROS * slowdown;
     return new Selection(
-        state, queueWaitMicros + prefillMicros + distanceMicros, queueWaitMicros, tokens);
+        state,
+        queueWaitMicros + prefillMicros + distanceMicros,
+        queueWaitMicros,
+        tokens,
+        (queueWaitMicros + prefillMicros) / slowdown);
   }
 
   private double cost(Selection selection, BackendState state, DispatchRequest request, long now) {
@@ -236,6 +249,14 @@
     if (state.coldServer().isCold(now)) {
       cost += COLD_PENALTY_MICROS;
     }
+    double learned = state.learnedSlowdown(now);
+    if (learned != 1) {
+      double need = paceTracker.needOfSlowServers(request.service());
+      cost -= need * (learned - 1) * selection.usualMicros();
+    }
+    if (state.isAtLearnedLimit(now)) {
+      cost += LEARNED_LIMIT_PENALTY_MICROS;
+    }
     return state.isSuspect(now) ? cost + SUSPECT_PENALTY_MICROS : cost;
   }
 
@@ -312,4 +333,28 @@
   public void recordFirstEvent(Selection selection, Optional<String> model, long micros) {
     prefillRate.recordPrefill(model.orElse(""), selection.prefillTokens(), micros);
   }
+
+  /**
+   * Records how long a warm backend server took for the first event or the response.
+   *
+   * @param micros time since the send, microseconds
+   */
+  public void recordPace(
+      Selection selection, DispatchRequest request, Optional<String> model, long micros, long now) {
+    BackendState state = selection.backend();
+    Optional<LoadReport> report = state.freshLoadReport(now);
+    double reported = report.map(LoadReport::slowdownFactor).orElse(1.0);
+    int requests = report.map(r -> r.running() + r.queued()).orElse(state.concurrentRequests(now));
+    paceTracker.record(
+        state.pace(),
+        new PaceTracker.Sample(
+            request.service(),
+            model,
+            selection.usualMicros(),
+            micros - state.roundTripMicros(),
+            requests,
+            state.server().slots(),
+            reported),
+        now);
+  }
 }
--- a/core/src/main/java/org/kumquatplank/core/membership/LivenessTable.java
+++ b/core/src/main/java/org/kumquatplank/core/membership/LivenessTable.java
@@ -208,7 +208,7 @@
   }
 
   /** Returns the slice of a list for a round, so that all elements take turns over the rounds. */
-  static <T> List<T> rotate(List<T> all, int maxCount, int round) {
+  public static <T> List<T> rotate(List<T> all, int maxCount, int round) {
     if (all.size() <= maxCount) {
       return all;
     }
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -77,6 +77,7 @@
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
   private final Set<LeavingServer> receivedLeaving = new HashSet<>();
   private final List<ColdNews> receivedCold = new ArrayList<>();
+  private final PaceExchange paces = new PaceExchange();
   private final Map<String, InetSocketAddress> relayAddresses = new HashMap<>();
   private final StalenessMonitor staleness;
   private final long startedAt = Clock.micros();
@@ -327,6 +328,7 @@
     if (!trafficReport.crashEvidence().isEmpty()) {
       digest.setCrashEvidence(CrashEvidenceCodec.encode(trafficReport.crashEvidence(), now));
     }
+    paces.addTo(digest, trafficReport.paces());
     rollouts.addTo(digest, now);
     directory.send(digest, now);
   }
@@ -359,6 +361,7 @@
       receivedLeaving.add(new LeavingServer(server.getBackend(), server.getStartedMillis()));
     }
     ColdNewsCodec.decode(digest.getColdBackendsList(), now, receivedCold);
+    paces.onDigest(digest);
     if (digest.hasCrashEvidence()) {
       dataPlane.mergeCrashEvidence(CrashEvidenceCodec.decode(digest.getCrashEvidence(), now));
     }
@@ -388,6 +391,7 @@
             receivedLoads,
             receivedLeaving,
             receivedCold,
+            paces.takeReceived(),
             sendsTrials,
             operatorRecords.status().confirmedAt()));
     receivedLoads.clear();
--- a/edge/src/main/java/org/kumquatplank/edge/ControlReport.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlReport.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.PeerLoad;
+import org.kumquatplank.core.pace.PaceReport;
 import org.kumquatplank.core.placement.ColdNews;
 import org.kumquatplank.link.proto.EdgeDigest;
 
@@ -18,6 +19,7 @@
  * @param loads in-flight load of the peers that reported it since the last report, by instance
  * @param leaving backend servers that peers reported to leave since the last report
  * @param cold backend servers that peers reported to be cold since the last report
+ * @param paces pace of backend servers that peers observed since the last report, by instance
  * @param sendsTrials whether this instance is the one that sends trials of blocked segments
  * @param catalogConfirmedAt when the configuration was last confirmed, microseconds
  */
@@ -27,6 +29,7 @@
     Map<String, List<PeerLoad>> loads,
     Set<LeavingServer> leaving,
     List<ColdNews> cold,
+    Map<String, List<PaceReport>> paces,
     boolean sendsTrials,
     long catalogConfirmedAt) {
   ControlReport {
@@ -34,5 +37,6 @@
     loads = Map.copyOf(loads);
     leaving = Set.copyOf(leaving);
     cold = List.copyOf(cold);
+    paces = Map.copyOf(paces);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -175,6 +175,7 @@
           report.loads().forEach(dispatcher::setPeerLoads);
           dispatcher.addLeaving(report.leaving());
           dispatcher.coldStarts().onControlReport(report.readyPeers(), report.cold());
+          report.paces().forEach(dispatcher.paces()::add);
           dispatcher.crashDetector().setSendsTrials(report.sendsTrials());
           dispatcher.catalog().setConfirmedAt(report.catalogConfirmedAt());
         });
@@ -200,6 +201,7 @@
         dispatcher.ownLoads(),
         dispatcher.leaving(),
         dispatcher.coldStarts().cold(),
+        dispatcher.paces().update(Clock.micros()),
         dispatcher.versionStats(),
         dispatcher.crashDetector().evidence(),
         dispatcher.isReady());
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -51,6 +51,7 @@
   private final SegmentCrashTracker crashTracker = SegmentCrashTracker.create();
   private final CrashDetector crashDetector;
   private final CallOutcomes outcomes;
+  private final PaceMonitor paces;
   private final RetryLimits retryLimits;
   private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -71,6 +72,7 @@
             new ColdStarts(settings, catalog, metrics),
             catalog,
             PlacementRules.of(settings.regions()));
+    this.paces = new PaceMonitor(registry, metrics);
     this.crashDetector = new CrashDetector(pool, crashTracker, metrics, choice::isEvacuated);
     this.retryLimits = new RetryLimits(settings.limits(), metrics);
     this.outcomes = new CallOutcomes(pool, choice.selector(), metrics);
@@ -137,6 +139,10 @@
     return choice.coldStarts();
   }
 
+  PaceMonitor paces() {
+    return paces;
+  }
+
   CallOutcomes outcomes() {
     return outcomes;
   }
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -34,9 +34,6 @@
    */
   private static final long MAX_RETRY_PAUSE_MILLIS = 6_000;
 
-  /** Pause after a listing, in which the digests of peers arrive at an instance that starts. */
-  private static final long AFTER_LISTING_MILLIS = 300;
-
   /** How often an instance that is not the elected reader checks whether it has become so. */
   private static final long ELECTION_CHECK_MILLIS = 400;
 
@@ -163,8 +160,7 @@
               TopicUpdate<StoreRecord> listed =
                   new TopicUpdate<>(page.nextOffset(), page.nextOffset(), page.records());
               runLoggingFailures(() -> listener.onSnapshot(cursor.onListed(listed)));
-              long pause = Math.max(AFTER_LISTING_MILLIS, topic.pauseMillis());
-              loop.schedule(this::readIfElected, pause, TimeUnit.MILLISECONDS);
+              loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
   }
 
