Test that a request that waits goes to the failure domain that is left

Cause: the test of that name held also without any evacuation. Change: both servers are full, and the requests that wait can only go to the one that is not evacuated. Measured: passes; fails if evacuated failure domains are permitted.

--- a/edge/src/test/java/org/kumquatplank/edge/EvacuationTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EvacuationTest.java
@@ -85,28 +85,28 @@
 
   @Example
   void testQueuedRequestGoesToAnotherFailureDomain() throws Exception {
-    CountDownLatch release = new CountDownLatch(1);
+    CountDownLatch releaseA = new CountDownLatch(1);
+    CountDownLatch releaseB = new CountDownLatch(1);
     try (EdgeFixture edge =
             PlacementFixture.start(
-                r -> after(release, GOOD),
-                "a",
-                r -> GOOD,
-                "c",
-                e -> e.putCatalog("\"key-1\"", "\"r\"", ""));
+                r -> after(releaseA, GOOD), "a", r -> after(releaseB, GOOD), "b", e -> {});
         ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
       List<Future<String>> responses = new ArrayList<>();
-      for (int i = 0; i < 7; i++) {
+      for (int i = 0; i < 14; i++) {
         responses.add(callers.submit(() -> send(edge)));
       }
-      edge.await(() -> edge.openExchanges() == 7 && received(edge, 0) == 6);
-      evacuate(edge, "c");
+      edge.await(
+          () -> edge.openExchanges() == 14 && received(edge, 0) == 6 && received(edge, 1) == 6);
+      evacuate(edge, "a");
       awaitEvacuated(edge, 1);
-      assertThat(edge.openExchanges()).isEqualTo(7);
-      release.countDown();
+      releaseA.countDown();
+      edge.await(() -> edge.openExchanges() == 8);
+      releaseB.countDown();
       for (Future<String> response : responses) {
         assertThat(EdgeFixture.status(response.get())).isEqualTo(200);
       }
-      assertThat(received(edge, 1)).isZero();
+      assertThat(received(edge, 0)).isEqualTo(6);
+      assertThat(received(edge, 1)).isEqualTo(8);
     }
   }
 
