--- a/core/src/main/java/org/kumquatplank/core/memory/ConnectionLimit.java
+++ b/core/src/main/java/org/kumquatplank/core/memory/ConnectionLimit.java
@@ -10,15 +10,24 @@
   /** Descriptors for files and libraries. */
   private static final int FILE_DESCRIPTORS = 200;
 
-  private static final int MIN_CONNECTIONS = 16;
+  private static final int MIN_CONNECTIONS = 8;
 
   private ConnectionLimit() {}
 
-  /** Returns three quarters of the descriptors that a process may use for sockets. */
+  /** Returns five eighths of the descriptors that a process may use for sockets. */
   public static int of(int fileDescriptors) {
+    return share(fileDescriptors, 5);
+  }
+
+  /** Returns an eighth of them, for the listeners of readiness, directory and metrics. */
+  public static int ofAuxiliary(int fileDescriptors) {
+    return share(fileDescriptors, 1);
+  }
+
+  private static int share(int fileDescriptors, int eighths) {
     if (fileDescriptors == Integer.MAX_VALUE) {
       return Integer.MAX_VALUE;
     }
-    return Math.max(MIN_CONNECTIONS, (fileDescriptors - FILE_DESCRIPTORS) / 4 * 3);
+    return eighths * Math.max(MIN_CONNECTIONS, (fileDescriptors - FILE_DESCRIPTORS) / 8);
   }
 }
--- a/core/src/main/java/org/kumquatplank/core/memory/MemoryBudget.java
+++ b/core/src/main/java/org/kumquatplank/core/memory/MemoryBudget.java
@@ -14,6 +14,9 @@
   /** Share of the memory of the machine, for processes with a heap that nearly fills it. */
   private static final int MACHINE_DIVISOR = 8;
 
+  /** Most that unfinished responses take in total, bytes. */
+  private static final long MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
   /** A request of this size is read also where large ones wait, bytes. */
   private static final long SMALL_REQUEST_BYTES = 64 * 1024;
 
@@ -48,6 +51,11 @@
     return limitBytes;
   }
 
+  /** Returns the limit on unfinished responses alone, bytes. */
+  public long responseLimitBytes() {
+    return Math.min(limitBytes, MAX_RESPONSE_BYTES);
+  }
+
   /** Returns whether large requests have to wait, and those without progress give way. */
   public boolean isPressed() {
     return heldBytes > limitBytes / 2;
--- a/edge/src/main/java/org/kumquatplank/edge/AuxiliaryServer.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AuxiliaryServer.java
@@ -2,8 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -12,13 +14,14 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.function.Function;
 
 /**
@@ -26,11 +29,23 @@
  */
 final class AuxiliaryServer extends ChannelInitializer<SocketChannel> {
   private static final int MAX_REQUEST_BYTES = 16_384;
+  private static final int MAX_HEAD_BYTES = 8_192;
   private static final int IDLE_SECONDS = 30;
 
+  private final Set<Channel> connections;
+  private final int maxConnections;
   private final Function<String, Response> handler;
 
-  AuxiliaryServer(Function<String, Response> handler) {
+  /**
+   * Creates a server.
+   *
+   * @param connections open connections of all such servers, oldest first
+   * @param maxConnections number of connections above which the oldest is closed
+   */
+  AuxiliaryServer(
+      Set<Channel> connections, int maxConnections, Function<String, Response> handler) {
+    this.connections = connections;
+    this.maxConnections = maxConnections;
     this.handler = handler;
   }
 
@@ -47,6 +62,16 @@
 
   @Override
   protected void initChannel(SocketChannel channel) {
+    while (connections.size() >= maxConnections) {
+      Channel oldest = connections.iterator().next();
+      connections.remove(oldest);
+      oldest.close();
+    }
+    connections.add(channel);
+    channel.closeFuture().addListener(f -> connections.remove(channel));
+    RequestHandler requests = new RequestHandler();
+    RequestDecoder decoder = new RequestDecoder(MAX_HEAD_BYTES, () -> !requests.answering);
+    requests.decoder = decoder;
     channel
         .pipeline()
         .addLast(
@@ -56,13 +81,34 @@
                 ctx.close();
               }
             })
-        .addLast(new HttpServerCodec())
+        .addLast(new ReadGuard(requests))
+        .addLast(decoder)
+        .addLast(new HttpResponseEncoder())
         .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
-        .addLast(new RequestHandler());
+        .addLast(requests);
+  }
+
+  /** Stops reading while requests wait for the answer to an earlier one to be written. */
+  private static final class ReadGuard extends ChannelInboundHandlerAdapter {
+    private final RequestHandler requests;
+
+    ReadGuard(RequestHandler requests) {
+      this.requests = requests;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      ctx.fireChannelRead(message);
+      boolean full = requests.decoder.undecodedBytes() > MAX_REQUEST_BYTES;
+      ctx.channel().config().setAutoRead(!requests.answering || !full);
+    }
   }
 
   /** Passes the URI of each request to the handler and sends its response. */
   private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private RequestDecoder decoder;
+    private boolean answering;
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
       Response response = handler.apply(request.uri());
@@ -74,8 +120,22 @@
       httpResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
       boolean keepAlive = HttpUtil.isKeepAlive(request);
       HttpUtil.setKeepAlive(httpResponse, keepAlive);
+      answering = true;
       ctx.writeAndFlush(httpResponse)
-          .addListener(keepAlive ? f -> {} : ChannelFutureListener.CLOSE);
+          .addListener(keepAlive ? f -> decodeNext(ctx) : ChannelFutureListener.CLOSE);
+    }
+
+    /** Goes on after the requests of other connections. */
+    private void decodeNext(ChannelHandlerContext ctx) {
+      ctx.executor()
+          .execute(
+              () -> {
+                answering = false;
+                if (ctx.channel().isActive()) {
+                  ctx.channel().config().setAutoRead(true);
+                  ctx.pipeline().context(ReadGuard.class).fireChannelRead(Unpooled.EMPTY_BUFFER);
+                }
+              });
     }
 
     @Override
--- a/edge/src/main/java/org/kumquatplank/edge/BufferLimit.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BufferLimit.java
@@ -24,7 +24,7 @@
     long added = bytes - (before == null ? 0L : before);
     totalBytes += added;
     memory.add(added);
-    if (totalBytes > memory.limitBytes()) {
+    if (totalBytes > memory.responseLimitBytes()) {
       largest().dropHeldResponses();
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -14,24 +14,18 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.kumquatplank.core.catalog.CallerLimits;
@@ -44,26 +38,17 @@
  * <p>Confined to the traffic thread.
  */
 final class CallerConnection implements ResponseWriter {
-  /** Memory that a header line takes in addition to its bytes, in all its copies. */
-  private static final int HEADER_LINE_BYTES = 256;
-
-  /** Memory that a byte of an incomplete head may take, as its lines may be of four bytes each. */
-  private static final int OPEN_HEAD_BYTES_PER_BYTE = 40;
-
   private static final double NO_ROOM_RETRY_SECONDS = 1;
   private static final long MICROS_PER_MILLI = 1_000;
 
   private final AdmissionController admission;
   private final CallerLimits limits;
   private final CallerMemory memory;
-  private final Decoder decoder;
+  private final RequestDecoder decoder;
+  private final HeldBytes held;
   private Channel channel;
   private HttpRequest request;
   private Optional<RequestBody> body = Optional.empty();
-  private long heldBytes;
-  private long headBytes;
-  private long requestBytes;
-  private long responseBytes;
   private boolean paused;
   private Optional<Exchange> exchange = Optional.empty();
   private boolean responsePending;
@@ -79,39 +64,9 @@
     this.admission = admission;
     this.memory = memory;
     this.limits = limits;
-    this.decoder = new Decoder();
-  }
-
-  /**
-   * Decoder of one request at a time, which rejects requests with two body lengths, which allow
-   * request smuggling.
-   */
-  private final class Decoder extends HttpRequestDecoder {
-    Decoder() {
-      super(
-          new HttpDecoderConfig()
-              .setMaxInitialLineLength(limits.maxHeaderBytes())
-              .setMaxHeaderSize(limits.maxHeaderBytes()));
-    }
-
-    int undecodedBytes() {
-      return actualReadableBytes();
-    }
-
-    /** Leaves the bytes of later requests undecoded until the response is written. */
-    @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
-        throws Exception {
-      if (!isBusyWithResponse() && !closing) {
-        super.decode(ctx, in, out);
-      }
-    }
-
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException(
-          "message has both Content-Length and Transfer-Encoding: chunked");
-    }
+    this.held = new HeldBytes(memory);
+    this.decoder =
+        new RequestDecoder(limits.maxHeaderBytes(), () -> !isBusyWithResponse() && !closing);
   }
 
   void addTo(ChannelPipeline pipeline) {
@@ -121,7 +76,7 @@
   }
 
   boolean isBusy() {
-    return responsePending || requestStarted || hasUnwrittenResponse();
+    return requestStarted || isBusyWithResponse();
   }
 
   private boolean isBusyWithResponse() {
@@ -130,7 +85,7 @@
 
   /** Returns the memory that the connection takes, bytes. */
   long heldBytes() {
-    return heldBytes;
+    return held.total();
   }
 
   long lastActivityAt() {
@@ -150,7 +105,8 @@
   /** Closes the connection, which frees what it holds. */
   void giveWay() {
     closing = true;
-    release();
+    held.release();
+    body = Optional.empty();
     channel.close();
   }
 
@@ -162,24 +118,9 @@
 
   /** Updates the account of what the connection holds. */
   private void account() {
-    if (closing) {
-      return;
+    if (!closing) {
+      held.update(body.map(RequestBody::capacity).orElse(0) + decoder.undecodedBytes());
     }
-    long held =
-        headBytes
-            + body.map(RequestBody::capacity).orElse(0)
-            + requestBytes
-            + responseBytes
-            + decoder.undecodedBytes();
-    long added = held - heldBytes;
-    heldBytes = held;
-    memory.add(added);
-  }
-
-  private void release() {
-    memory.add(-heldBytes);
-    heldBytes = 0;
-    body = Optional.empty();
   }
 
   private void updateReading() {
@@ -206,8 +147,7 @@
       if (requestStarted) {
         reject(LocalResponse.SLOW_HEAD, "the body took too long");
       } else {
-        closing = true;
-        channel.close();
+        abort();
       }
     }
   }
@@ -224,18 +164,17 @@
   /** Closes the connection if no request is on it. */
   void closeIfIdle() {
     if (!isBusy()) {
-      closing = true;
-      channel.close();
+      abort();
     }
   }
 
   private void reject(LocalResponse answer, String reason) {
-    reject(answer, OptionalDouble.empty(), reason);
-  }
-
-  private void reject(LocalResponse answer, OptionalDouble retryAfter, String reason) {
     closeAfterResponse = true;
     responsePending = true;
+    OptionalDouble retryAfter =
+        answer == LocalResponse.NOT_RUN
+            ? OptionalDouble.of(NO_ROOM_RETRY_SECONDS)
+            : OptionalDouble.empty();
     respond(CallerProtocol.localResponse(answer, Optional.empty(), retryAfter, reason));
   }
 
@@ -244,12 +183,12 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       lastActivityAt = Clock.micros();
-      if (!requestStarted && !responsePending) {
+      if (!requestStarted && !isBusyWithResponse()) {
         requestStarted = true;
         requestStartedAt = lastActivityAt;
       }
       if (request == null && !isBusyWithResponse()) {
-        headBytes += (long) OPEN_HEAD_BYTES_PER_BYTE * ((ByteBuf) message).readableBytes();
+        held.addOpenHead(((ByteBuf) message).readableBytes());
       }
       ctx.fireChannelRead(message);
       account();
@@ -274,7 +213,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       closing = true;
-      release();
+      held.release();
       exchange.ifPresent(Exchange::onCallerDisconnected);
       admission.onClosed(CallerConnection.this);
     }
@@ -307,13 +246,9 @@
   }
 
   private void handleHead(HttpRequest newRequest) {
-    Throwable failure = newRequest.decoderResult().cause();
-    if (failure != null) {
-      boolean tooLarge =
-          failure instanceof TooLongHttpHeaderException
-              || failure instanceof TooLongHttpLineException;
-      reject(
-          tooLarge ? LocalResponse.LARGE_HEAD : LocalResponse.MALFORMED, "the head can't be read");
+    Optional<LocalResponse> fault = RequestDecoder.fault(newRequest);
+    if (fault.isPresent()) {
+      reject(fault.get(), "the head can't be read");
       return;
     }
     if (HttpUtil.getContentLength(newRequest, 0L) > limits.maxBodyBytes()) {
@@ -322,7 +257,7 @@
     }
     request = newRequest;
     requestStarted = true;
-    headBytes = (long) HEADER_LINE_BYTES * newRequest.headers().size();
+    held.setHead(newRequest.headers());
     body =
         Optional.of(
             new RequestBody(HttpUtil.getContentLength(newRequest, -1L), limits.maxBodyBytes()));
@@ -352,12 +287,12 @@
     HttpRequest completeRequest = request;
     byte[] bytes = body.orElseThrow().take();
     request = null;
-    requestBytes = bytes.length;
+    held.setRequest(bytes.length);
     body = Optional.empty();
     requestStarted = false;
     memory.onRequestEnded(this);
     if (!memory.hasRoom()) {
-      reject(LocalResponse.NOT_RUN, OptionalDouble.of(NO_ROOM_RETRY_SECONDS), "memory is short");
+      reject(LocalResponse.NOT_RUN, "memory is short");
       return;
     }
     responsePending = true;
@@ -406,9 +341,13 @@
   }
 
   private void writeLast(Object message) {
-    responseBytes = message instanceof FullHttpResponse full ? full.content().readableBytes() : 0;
-    ChannelFuture write = channel.writeAndFlush(message).addListener(closeListener());
+    held.setResponse(message instanceof FullHttpResponse r ? r.content().readableBytes() : 0);
+    closing |= closeAfterResponse;
+    ChannelFuture write = channel.writeAndFlush(message);
     lastWrite = Optional.of(write);
+    if (closeAfterResponse) {
+      write.addListener(ChannelFutureListener.CLOSE);
+    }
     onResponseEnded();
     write.addListener(f -> channel.eventLoop().execute(this::continueDecoding));
   }
@@ -431,22 +370,13 @@
     }
   }
 
-  private ChannelFutureListener closeListener() {
-    if (!closeAfterResponse) {
-      return future -> {};
-    }
-    closing = true;
-    return ChannelFutureListener.CLOSE;
-  }
-
   private void onResponseEnded() {
     exchange = Optional.empty();
     responsePending = false;
     requestStarted = false;
     request = null;
     body = Optional.empty();
-    headBytes = 0;
-    requestBytes = 0;
+    held.endRequest();
     lastActivityAt = Clock.micros();
     account();
     memory.onRequestEnded(this);
@@ -454,14 +384,14 @@
 
   /** Decodes what the caller has sent ahead, once the response before it is written. */
   private void continueDecoding() {
-    responseBytes = 0;
+    held.setResponse(0);
     if (closing || responsePending) {
       return;
     }
     if (decoder.undecodedBytes() > 0) {
       requestStarted = true;
       requestStartedAt = Clock.micros();
-      headBytes = (long) OPEN_HEAD_BYTES_PER_BYTE * decoder.undecodedBytes();
+      held.addOpenHead(decoder.undecodedBytes());
       channel.pipeline().context(ActivityTracker.class).fireChannelRead(Unpooled.EMPTY_BUFFER);
     }
     account();
--- a/edge/src/main/java/org/kumquatplank/edge/CallerMemory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerMemory.java
@@ -20,9 +20,12 @@
   /** Time without progress after which a request gives way while the account is pressed. */
   private static final long STALL_MICROS = 1_000_000;
 
+  private static final long LOG_INTERVAL_MICROS = 1_000_000;
+
   private final MemoryBudget budget;
   private final int maxConnections;
   private final EdgeMetrics metrics;
+  private final LogThrottle log = LogThrottle.create(LOG_INTERVAL_MICROS);
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Deque<CallerConnection> waiting = new ArrayDeque<>();
   private CallerConnection reader;
@@ -37,8 +40,8 @@
     return connections;
   }
 
-  long limitBytes() {
-    return budget.limitBytes();
+  long responseLimitBytes() {
+    return budget.responseLimitBytes();
   }
 
   /** Adds a connection; the one that has been idle longest gives way if there are too many. */
@@ -137,19 +140,23 @@
           && connection.heldBytes() > 0
           && !connection.isPaused()
           && now - connection.lastActivityAt() > STALL_MICROS) {
-        giveWay(connection, "no progress");
+        giveWay(connection, "stalled");
       }
     }
     resume();
   }
 
   private void giveWay(CallerConnection connection, String reason) {
-    metrics.count("callers_closed");
-    EdgeLog.event("caller_closed")
-        .addKeyValue("reason", reason)
-        .addKeyValue("held_bytes", connection.heldBytes())
-        .addKeyValue("all_bytes", budget.heldBytes())
-        .log();
+    metrics.count("callers_closed_" + reason);
+    log.pass(Clock.micros())
+        .ifPresent(
+            omitted ->
+                EdgeLog.event("caller_closed")
+                    .addKeyValue("reason", reason)
+                    .addKeyValue("held_bytes", connection.heldBytes())
+                    .addKeyValue("all_bytes", budget.heldBytes())
+                    .addKeyValue("omitted", omitted)
+                    .log());
     connections.remove(connection);
     connection.giveWay();
   }
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -10,17 +10,21 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.CrashEvidence;
 import org.kumquatplank.core.dispatch.DrainSchedule;
 import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.memory.ConnectionLimit;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.platform.wire.DiscoveryProtocol;
 import org.kumquatplank.platform.wire.EdgeSettings;
@@ -46,6 +50,7 @@
   private final BackendPool pool;
   private final Dispatcher dispatcher;
   private final AdmissionController admission;
+  private final Set<Channel> auxiliaryConnections = new LinkedHashSet<>();
   private final EntryAddresses addresses = new EntryAddresses();
   private final CountDownLatch drained = new CountDownLatch(1);
   private Consumer<TrafficReport> reportListener = report -> {};
@@ -79,9 +84,9 @@
             admission.open(channel.pipeline());
           }
         });
-    listen(settings.readinessAddress(), new AuxiliaryServer(this::readiness));
-    listen(settings.directoryAddress(), new AuxiliaryServer(this::resolve));
-    listen(settings.metricsAddress(), new AuxiliaryServer(uri -> metricsPage()));
+    listen(settings.readinessAddress(), auxiliary(this::readiness));
+    listen(settings.directoryAddress(), auxiliary(this::resolve));
+    listen(settings.metricsAddress(), auxiliary(uri -> metricsPage()));
     dispatcher.onFirstExchange(this::tickWhileOpen);
     scheduleEvery(SWEEP_MILLIS, this::sweep);
     scheduleEvery(REPORT_MILLIS, () -> reportListener.accept(report()));
@@ -115,6 +120,11 @@
     loop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
   }
 
+  private AuxiliaryServer auxiliary(Function<String, AuxiliaryServer.Response> handler) {
+    int max = ConnectionLimit.ofAuxiliary(settings.resources().fileDescriptors());
+    return new AuxiliaryServer(auxiliaryConnections, max, handler);
+  }
+
   private void listen(InetSocketAddress address, ChannelHandler handler) {
     Channel channel =
         new ServerBootstrap()
--- a/edge/src/test/java/org/kumquatplank/edge/soak/CallerCrowdTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/CallerCrowdTest.java
@@ -5,7 +5,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
 import org.kumquatplank.edge.soak.LimitedInstance.Usage;
 
@@ -22,6 +25,8 @@
   private static final int PIPELINED_REQUESTS = 20_000;
   private static final int PIPELINED_LARGE_REQUESTS = 400;
   private static final int IDLE_CALLERS = 400;
+  private static final int UPLOADS = 60;
+  private static final int UPLOAD_HEAP_MEGABYTES = 48;
 
   /** Number of looks at the process while the crowd sends, and the pause between two. */
   private static final int LOOKS = 50;
@@ -108,6 +113,34 @@
     check("idle", (crowd, i) -> crowd.add(i.callerPort(), IDLE_CALLERS, (o, n) -> {}));
   }
 
+  @Example
+  void testLargeUploadsOfSixtyCallersAreAnswered() throws IOException, InterruptedException {
+    try (LimitedInstance instance =
+        LimitedInstance.start("crowd-uploads", UPLOAD_HEAP_MEGABYTES, START_ATTEMPTS)) {
+      String body = "u".repeat(LimitedInstance.MAX_BODY_BYTES);
+      AtomicInteger answered = new AtomicInteger();
+      List<Thread> uploads = new ArrayList<>();
+      for (int i = 0; i < UPLOADS; i++) {
+        String id = "u-" + i;
+        uploads.add(
+            Thread.ofVirtual()
+                .start(
+                    () -> {
+                      if (instance.send(id, body).startsWith("HTTP/1.1 ")) {
+                        answered.incrementAndGet();
+                      }
+                    }));
+      }
+      for (Thread upload : uploads) {
+        upload.join();
+      }
+      Usage usage = instance.usage();
+      String seen = seen(instance, usage, instance.servesOrdinaryRequest());
+      assertThat(instance.isOutOfMemory()).as(seen).isFalse();
+      assertThat(answered.get()).as(seen).isEqualTo(UPLOADS);
+    }
+  }
+
   /** A crowd of callers. */
   private interface Crowd {
     void join(CallerCrowd crowd, LimitedInstance instance) throws InterruptedException;
