--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -14,26 +14,18 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Arrays;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.kumquatplank.core.catalog.CallerLimits;
@@ -46,17 +38,18 @@
  * <p>Confined to the traffic thread.
  */
 final class CallerConnection implements ResponseWriter {
-  private static final int MAX_QUEUED_MESSAGES = 64;
-  private static final int INITIAL_BODY_BYTES = 1_024;
+  private static final double NO_ROOM_RETRY_SECONDS = 1;
   private static final long MICROS_PER_MILLI = 1_000;
 
   private final AdmissionController admission;
   private final CallerLimits limits;
-  private final Deque<Object> queued = new ArrayDeque<>();
+  private final CallerMemory memory;
+  private final RequestDecoder decoder;
+  private final HeldBytes held;
   private Channel channel;
   private HttpRequest request;
-  private byte[] body = new byte[0];
-  private int bodyBytes;
+  private Optional<RequestBody> body = Optional.empty();
+  private boolean paused;
   private Optional<Exchange> exchange = Optional.empty();
   private boolean responsePending;
   private boolean closing;
@@ -67,38 +60,72 @@
   private Optional<ChannelFuture> lastWrite = Optional.empty();
   private long unwrittenBytes;
 
-  CallerConnection(AdmissionController admission, CallerLimits limits) {
+  CallerConnection(AdmissionController admission, CallerMemory memory, CallerLimits limits) {
     this.admission = admission;
+    this.memory = memory;
     this.limits = limits;
-  }
-
-  /** Decoder that rejects requests with two body lengths, which allow request smuggling. */
-  private static final class Decoder extends HttpRequestDecoder {
-    Decoder(CallerLimits limits) {
-      super(
-          new HttpDecoderConfig()
-              .setMaxInitialLineLength(limits.maxHeaderBytes())
-              .setMaxHeaderSize(limits.maxHeaderBytes()));
-    }
-
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException(
-          "message has both Content-Length and Transfer-Encoding: chunked");
-    }
+    this.held = new HeldBytes(memory);
+    this.decoder =
+        new RequestDecoder(limits.maxHeaderBytes(), () -> !isBusyWithResponse() && !closing);
   }
 
   void addTo(ChannelPipeline pipeline) {
     channel = pipeline.channel();
     pipeline.addLast(
-        new ActivityTracker(),
-        new Decoder(limits),
-        new HttpResponseEncoder(),
-        new RequestHandler());
+        new ActivityTracker(), decoder, new HttpResponseEncoder(), new RequestHandler());
   }
 
   boolean isBusy() {
-    return responsePending || requestStarted || hasUnwrittenResponse();
+    return requestStarted || isBusyWithResponse();
+  }
+
+  private boolean isBusyWithResponse() {
+    return responsePending || hasUnwrittenResponse();
+  }
+
+  /** Returns the memory that the connection takes, bytes. */
+  long heldBytes() {
+    return held.total();
+  }
+
+  long lastActivityAt() {
+    return lastActivityAt;
+  }
+
+  /** Returns whether the connection waits for memory before it reads on. */
+  boolean isPaused() {
+    return paused;
+  }
+
+  /** Returns whether no request on the connection is being served. */
+  boolean canGiveWay() {
+    return !responsePending && (!closing || hasUnwrittenResponse());
+  }
+
+  /** Closes the connection, which frees what it holds. */
+  void giveWay() {
+    closing = true;
+    held.release();
+    body = Optional.empty();
+    channel.close();
+  }
+
+  void resumeReading() {
+    paused = false;
+    lastActivityAt = Clock.micros();
+    updateReading();
+  }
+
+  /** Updates the account of what the connection holds. */
+  private void account() {
+    if (!closing) {
+      held.update(body.map(RequestBody::capacity).orElse(0) + decoder.undecodedBytes());
+    }
+  }
+
+  private void updateReading() {
+    boolean sentAhead = isBusyWithResponse() && decoder.undecodedBytes() > limits.maxHeaderBytes();
+    channel.config().setAutoRead(!paused && !sentAhead);
   }
 
   /** Returns whether bytes of a response wait for the caller to read. */
@@ -108,7 +135,7 @@
 
   /** Closes the connection if it is idle for too long or sends a request too slowly. */
   void sweep(long now) {
-    if (responsePending || (closing && !hasUnwrittenResponse())) {
+    if (responsePending || paused || (closing && !hasUnwrittenResponse())) {
       return;
     }
     recordWriteProgress(now);
@@ -120,8 +147,7 @@
       if (requestStarted) {
         reject(LocalResponse.SLOW_HEAD, "the body took too long");
       } else {
-        closing = true;
-        channel.close();
+        abort();
       }
     }
   }
@@ -138,15 +164,18 @@
   /** Closes the connection if no request is on it. */
   void closeIfIdle() {
     if (!isBusy()) {
-      closing = true;
-      channel.close();
+      abort();
     }
   }
 
   private void reject(LocalResponse answer, String reason) {
     closeAfterResponse = true;
     responsePending = true;
-    respond(CallerProtocol.localResponse(answer, Optional.empty(), OptionalDouble.empty(), reason));
+    OptionalDouble retryAfter =
+        answer == LocalResponse.NOT_RUN
+            ? OptionalDouble.of(NO_ROOM_RETRY_SECONDS)
+            : OptionalDouble.empty();
+    respond(CallerProtocol.localResponse(answer, Optional.empty(), retryAfter, reason));
   }
 
   /** Records when bytes arrive, before they are decoded. */
@@ -154,11 +183,19 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       lastActivityAt = Clock.micros();
-      if (!requestStarted && !responsePending) {
+      if (!requestStarted && !isBusyWithResponse()) {
         requestStarted = true;
         requestStartedAt = lastActivityAt;
       }
+      if (request == null && !isBusyWithResponse()) {
+        held.addOpenHead(((ByteBuf) message).readableBytes());
+      }
       ctx.fireChannelRead(message);
+      account();
+      if (!closing && !responsePending && !paused) {
+        paused = memory.mustWait(CallerConnection.this);
+      }
+      updateReading();
     }
   }
 
@@ -166,13 +203,8 @@
   private final class RequestHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      if (closing) {
+      if (closing || responsePending) {
         ReferenceCountUtil.release(message);
-      } else if (responsePending || !queued.isEmpty()) {
-        queued.addLast(message);
-        if (queued.size() >= MAX_QUEUED_MESSAGES) {
-          channel.config().setAutoRead(false);
-        }
       } else {
         handleMessage(message);
       }
@@ -181,8 +213,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       closing = true;
-      queued.forEach(ReferenceCountUtil::release);
-      queued.clear();
+      held.release();
       exchange.ifPresent(Exchange::onCallerDisconnected);
       admission.onClosed(CallerConnection.this);
     }
@@ -215,13 +246,9 @@
   }
 
   private void handleHead(HttpRequest newRequest) {
-    Throwable failure = newRequest.decoderResult().cause();
-    if (failure != null) {
-      boolean tooLarge =
-          failure instanceof TooLongHttpHeaderException
-              || failure instanceof TooLongHttpLineException;
-      reject(
-          tooLarge ? LocalResponse.LARGE_HEAD : LocalResponse.MALFORMED, "the head can't be read");
+    Optional<LocalResponse> fault = RequestDecoder.fault(newRequest);
+    if (fault.isPresent()) {
+      reject(fault.get(), "the head can't be read");
       return;
     }
     if (HttpUtil.getContentLength(newRequest, 0L) > limits.maxBodyBytes()) {
@@ -230,8 +257,10 @@
     }
     request = newRequest;
     requestStarted = true;
-    bodyBytes = 0;
-    body = new byte[0];
+    held.setHead(newRequest.headers());
+    body =
+        Optional.of(
+            new RequestBody(HttpUtil.getContentLength(newRequest, -1L), limits.maxBodyBytes()));
     if (HttpUtil.is100ContinueExpected(newRequest)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
@@ -244,39 +273,28 @@
       reject(LocalResponse.MALFORMED, "the body can't be read");
       return;
     }
-    int addedBytes = content.content().readableBytes();
-    if (bodyBytes + addedBytes > limits.maxBodyBytes()) {
+    if (content.content().isReadable() && !body.orElseThrow().add(content.content())) {
       reject(LocalResponse.LARGE_BODY, "the body is too large");
       return;
     }
-    if (addedBytes > 0) {
-      ensureBodyCapacity(addedBytes);
-      content.content().readBytes(body, bodyBytes, addedBytes);
-      bodyBytes += addedBytes;
-    }
-    if (content instanceof LastHttpContent) {
+    account();
+    if (content instanceof LastHttpContent && !closing) {
       begin();
     }
   }
 
-  private void ensureBodyCapacity(int addedBytes) {
-    if (body.length - bodyBytes >= addedBytes) {
-      return;
-    }
-    long declaredBytes = HttpUtil.getContentLength(request, -1L);
-    int newCapacity =
-        declaredBytes >= bodyBytes + addedBytes
-            ? (int) declaredBytes
-            : Math.max(INITIAL_BODY_BYTES, Math.max(2 * body.length, bodyBytes + addedBytes));
-    body = Arrays.copyOf(body, newCapacity);
-  }
-
   private void begin() {
     HttpRequest completeRequest = request;
-    byte[] bytes = body.length == bodyBytes ? body : Arrays.copyOf(body, bodyBytes);
+    byte[] bytes = body.orElseThrow().take();
     request = null;
-    body = new byte[0];
+    held.setRequest(bytes.length);
+    body = Optional.empty();
     requestStarted = false;
+    memory.onRequestEnded(this);
+    if (!memory.hasRoom()) {
+      reject(LocalResponse.NOT_RUN, "memory is short");
+      return;
+    }
     responsePending = true;
     closeAfterResponse = !HttpUtil.isKeepAlive(completeRequest);
     exchange = Optional.empty();
@@ -323,8 +341,15 @@
   }
 
   private void writeLast(Object message) {
-    lastWrite = Optional.of(channel.writeAndFlush(message).addListener(closeListener()));
+    held.setResponse(message instanceof FullHttpResponse r ? r.content().readableBytes() : 0);
+    closing |= closeAfterResponse;
+    ChannelFuture write = channel.writeAndFlush(message);
+    lastWrite = Optional.of(write);
+    if (closeAfterResponse) {
+      write.addListener(ChannelFutureListener.CLOSE);
+    }
     onResponseEnded();
+    write.addListener(f -> channel.eventLoop().execute(this::continueDecoding));
   }
 
   @Override
@@ -345,32 +370,31 @@
     }
   }
 
-  private ChannelFutureListener closeListener() {
-    if (!closeAfterResponse) {
-      return future -> {};
-    }
-    closing = true;
-    return ChannelFutureListener.CLOSE;
-  }
-
   private void onResponseEnded() {
     exchange = Optional.empty();
     responsePending = false;
     requestStarted = false;
     request = null;
+    body = Optional.empty();
+    held.endRequest();
     lastActivityAt = Clock.micros();
-    if (closing) {
-      return;
-    }
-    channel.eventLoop().execute(this::handleQueued);
+    account();
+    memory.onRequestEnded(this);
   }
 
-  private void handleQueued() {
-    while (!responsePending && !closing && !queued.isEmpty()) {
-      handleMessage(queued.pollFirst());
+  /** Decodes what the caller has sent ahead, once the response before it is written. */
+  private void continueDecoding() {
+    held.setResponse(0);
+    if (closing || responsePending) {
+      return;
     }
-    if (queued.size() < MAX_QUEUED_MESSAGES) {
-      channel.config().setAutoRead(true);
+    if (decoder.undecodedBytes() > 0) {
+      requestStarted = true;
+      requestStartedAt = Clock.micros();
+      held.addOpenHead(decoder.undecodedBytes());
+      channel.pipeline().context(ActivityTracker.class).fireChannelRead(Unpooled.EMPTY_BUFFER);
     }
+    account();
+    updateReading();
   }
 }
