Send nothing for callers that have left or whose time is up

Cause: a request was read and sent on before the end of its connection was read, when the traffic thread had stood still (frozen, or slow right after a start) while both arrived. In the same way a response read first started what was queued, and a failed one was sent once more; a connect that completed then, and a queued request that a change started ahead of the tick, did not look at the deadline.

Change: the deadline and the caller's connection are checked before each send and when a connection opens. A queue is no longer started recursively by each request that ends in it.

--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendRegistry.java
@@ -78,6 +78,19 @@
     }
   }
 
+  /** Returns the load of this instance per backend server that it uses or suspects. */
+  public List<PeerLoad> ownLoads(long now) {
+    List<PeerLoad> loads = new ArrayList<>();
+    for (BackendState b : byId.values()) {
+      boolean suspect = b.isLocallySuspect(now);
+      if (b.inFlightRequests() > 0 || suspect) {
+        loads.add(
+            new PeerLoad(b.server().id(), b.inFlightRequests(), b.pendingPrefillTokens(), suspect));
+      }
+    }
+    return loads;
+  }
+
   /** Replaces the in-flight load that a peer reported with its latest digest. */
   public void setPeerLoads(String peer, Collection<PeerLoad> loads, long now) {
     byId.values().forEach(state -> state.removePeerLoad(peer));
--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -86,15 +86,18 @@
     return noPrefillAhead;
   }
 
-  void onConnected(BackendConnection newConnection) {
-    if (ended) {
-      return;
+  /** Sends the request on a connection; returns false if it must not be sent any more. */
+  boolean onConnected(BackendConnection newConnection) {
+    long now = Clock.micros();
+    if (ended || exchange.endIfLate(now)) {
+      return false;
     }
     connection = newConnection;
-    sentAt = Clock.micros();
+    sentAt = now;
     lastProgressAt = sentAt;
     sendTracker.setState(sendNumber, SendState.MAY_HAVE_RUN);
     connection.send(this, exchange.backendRequest(this));
+    return true;
   }
 
   void onConnectFailed(String reason) {
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.kumquatplank.core.dispatch.BackendRegistry;
@@ -43,6 +44,17 @@
     return liveInstances;
   }
 
+  /** Applies the limit that a response names, or that it names none. */
+  void setRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
+    if (backend.setRequestLimit(requestsPerSecond, liveInstances, Clock.micros())) {
+      EdgeLog.event("backend_limit")
+          .addKeyValue("backend", backend.server().id())
+          .addKeyValue("per_second", requestsPerSecond.isPresent() ? requestsPerSecond : "none")
+          .addKeyValue("instances", liveInstances)
+          .log();
+    }
+  }
+
   /** Returns the best backend server that takes the request now. */
   Optional<BackendSelector.Selection> select(Exchange exchange, long now) {
     return select(exchange, exchange.model(), now);
--- a/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
@@ -43,11 +43,13 @@
   private static final int KEEP_ALIVE_PROBES = 2;
 
   private final EventLoop loop;
+  private final SendGate gate;
   private final Map<Key, Deque<IdleConnection>> idle = new HashMap<>();
   private final Map<Key, BackendState> states = new HashMap<>();
 
-  BackendPool(EventLoop loop) {
+  BackendPool(EventLoop loop, SendGate gate) {
     this.loop = loop;
+    this.gate = gate;
   }
 
   /** Identifies one process of a backend server at one address. */
@@ -79,14 +81,16 @@
       boolean recentEnough = !nonRepeatable || now - candidate.idleSince() < RECENT_USE_MICROS;
       boolean usable = candidate.connection().channel().isActive();
       if (usable && recentEnough && now < candidate.connection().idleDeadline()) {
-        call.onConnected(candidate.connection());
+        if (!call.onConnected(candidate.connection())) {
+          idleConnections.addLast(candidate);
+        }
         return;
       }
       candidate.connection().channel().close();
     }
     open(
         state,
-        c -> onConnected(c, call),
+        c -> gate.run(Clock.micros(), () -> onConnected(c, call)),
         cause -> call.onConnectFailed(String.valueOf(cause.getMessage())));
   }
 
@@ -152,10 +156,10 @@
   }
 
   private void onConnected(BackendConnection connection, BackendCall call) {
-    if (call.hasEnded()) {
+    if (!connection.channel().isActive()) {
+      call.onConnectFailed("closed before the request was sent");
+    } else if (!call.onConnected(connection)) {
       release(connection, OptionalLong.empty());
-    } else {
-      call.onConnected(connection);
     }
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -333,6 +333,11 @@
     channel.close();
   }
 
+  @Override
+  public boolean isOpen() {
+    return channel.isActive();
+  }
+
   @Override
   public boolean isWritable() {
     return channel.isWritable();
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -43,6 +43,7 @@
   private final EdgeSettings settings;
   private final EventLoop loop;
   private final EdgeMetrics metrics = new EdgeMetrics();
+  private final SendGate gate;
   private final BackendPool pool;
   private final Dispatcher dispatcher;
   private final AdmissionController admission;
@@ -55,8 +56,9 @@
   DataPlane(EdgeSettings settings, EventLoop loop) {
     this.settings = settings;
     this.loop = loop;
-    this.pool = new BackendPool(loop);
-    this.dispatcher = new Dispatcher(settings, pool, metrics);
+    this.gate = new SendGate(loop);
+    this.pool = new BackendPool(loop, gate);
+    this.dispatcher = new Dispatcher(settings, pool, gate, metrics);
     this.admission = new AdmissionController(dispatcher, metrics);
   }
 
@@ -198,6 +200,7 @@
   }
 
   private TrafficReport report() {
+    gate.beat(Clock.micros());
     return new TrafficReport(
         dispatcher.ownLoads(),
         dispatcher.leaving(),
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.kumquatplank.edge;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -47,6 +46,7 @@
   private static final double MAX_QUEUE_WAIT_RATIO = 0.5;
 
   private final BackendPool pool;
+  private final SendGate gate;
   private final EdgeMetrics metrics;
   private final ConfirmedCatalog catalog;
   private final BackendRegistry registry = BackendRegistry.create();
@@ -62,9 +62,11 @@
   private Optional<DrainSchedule> drain = Optional.empty();
   private Runnable onFirstExchange = () -> {};
   private boolean ticking;
+  private boolean startsQueued;
 
-  Dispatcher(EdgeSettings settings, BackendPool pool, EdgeMetrics metrics) {
+  Dispatcher(EdgeSettings settings, BackendPool pool, SendGate gate, EdgeMetrics metrics) {
     this.pool = pool;
+    this.gate = gate;
     this.metrics = metrics;
     this.catalog = ConfirmedCatalog.create(settings.limits().configPropagationMillis());
     this.crashDetector = new CrashDetector(pool, crashTracker, metrics);
@@ -136,16 +138,7 @@
 
   /** Returns the load of this instance per backend server that it uses or suspects. */
   List<PeerLoad> ownLoads() {
-    long now = Clock.micros();
-    List<PeerLoad> loads = new ArrayList<>();
-    for (BackendState b : registry.all()) {
-      boolean suspect = b.isLocallySuspect(now);
-      if (b.inFlightRequests() > 0 || suspect) {
-        loads.add(
-            new PeerLoad(b.server().id(), b.inFlightRequests(), b.pendingPrefillTokens(), suspect));
-      }
-    }
-    return loads;
+    return registry.ownLoads(Clock.micros());
   }
 
   /** Sets the action to run when a request arrives and no exchange is open. */
@@ -178,7 +171,13 @@
 
   /** Sends a request to the best backend server, queues it, or fails it if none may serve it. */
   void dispatch(Exchange exchange) {
-    long now = Clock.micros();
+    gate.run(Clock.micros(), () -> dispatchNow(exchange, Clock.micros()));
+  }
+
+  private void dispatchNow(Exchange exchange, long now) {
+    if (exchange.endIfLate(now)) {
+      return;
+    }
     if (isTooLateToStart(exchange, now)) {
       rejectLeaving(exchange);
       return;
@@ -302,10 +301,23 @@
   }
 
   private void dispatchQueued() {
-    long now = Clock.micros();
-    for (WaitQueue<Exchange> queue : queues.values()) {
-      queue.startWaiting(
-          e -> e.isDone() || (crashTracker.blockOf(e.request()).isEmpty() && tryDispatch(e, now)));
+    if (!startsQueued) {
+      startsQueued = true;
+      gate.run(Clock.micros(), this::startQueued);
+    }
+  }
+
+  private void startQueued() {
+    try {
+      long now = Clock.micros();
+      for (WaitQueue<Exchange> queue : queues.values()) {
+        queue.startWaiting(
+            e ->
+                e.endIfLate(now)
+                    || (crashTracker.blockOf(e.request()).isEmpty() && tryDispatch(e, now)));
+      }
+    } finally {
+      startsQueued = false;
     }
   }
 
@@ -321,6 +333,7 @@
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.tick(now);
     }
+    gate.beat(now);
   }
 
   /** Returns the silence of a backend server after which a request is retried, microseconds. */
@@ -366,13 +379,7 @@
 
   /** Applies the limit that a response names, or that it names none. */
   void onRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
-    if (backend.setRequestLimit(requestsPerSecond, choice.liveInstances(), Clock.micros())) {
-      EdgeLog.event("backend_limit")
-          .addKeyValue("backend", backend.server().id())
-          .addKeyValue("per_second", requestsPerSecond.isPresent() ? requestsPerSecond : "none")
-          .addKeyValue("instances", choice.liveInstances())
-          .log();
-    }
+    choice.setRequestLimit(backend, requestsPerSecond);
   }
 
   void onDone(Exchange exchange, String outcome) {
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -106,12 +106,26 @@
     return forwarded.head().routerSelectsModel();
   }
 
+  /**
+   * Ends the exchange if its deadline has passed or its caller has left; returns whether it did.
+   */
+  boolean endIfLate(long now) {
+    if (done) {
+      return true;
+    }
+    if (!writer.isOpen()) {
+      onCallerDisconnected();
+    } else if (now >= request.deadlineMicros()) {
+      endUnfinished("the time is up", true);
+    }
+    return done;
+  }
+
   void send(BackendSelector.Selection selection, long now) {
     sendCount++;
     queued = false;
     call = BackendCall.open(this, selection, sendTracker, now);
-    boolean nonRepeatable = !request.route().isRetryable();
-    dispatcher.pool().acquire(selection.backend(), nonRepeatable, call);
+    dispatcher.pool().acquire(selection.backend(), !request.route().isRetryable(), call);
   }
 
   Object backendRequest(BackendCall forCall) {
@@ -170,6 +184,7 @@
           streaming ? Optional.empty() : dispatcher.largerModel(this, response.confidence());
       if (larger.isPresent()
           && sendCount < request.route().maxAttempts()
+          && Clock.micros() < request.deadlineMicros()
           && dispatcher.takeRetry(this)) {
         from.cancel();
         dispatcher.outcomes().onEscalated(this, from, response.confidence(), larger.get());
@@ -280,20 +295,20 @@
     if (response.misdirected() && from.selection().backend().isServer(response.backendId())) {
       held.keepRefusal(new ErrorResponse(response, held.buffer().take()));
     }
-    if (takeRetry(false)) {
-      retry(from, "refused with " + response.status());
-    } else {
-      endWithError("backend servers refused it", false);
-    }
+    retryOrEnd(from, false, "refused with " + response.status(), "backend servers refused it");
   }
 
   private void onErrorResponse(BackendCall from, BackendResponseHead response) {
     dispatcher.outcomes().onFailure(this, from, "status " + response.status());
     held.keepError(new ErrorResponse(response, held.buffer().take()));
-    if (takeRetry(true)) {
-      retry(from, "failed with " + response.status());
+    retryOrEnd(from, true, "failed with " + response.status(), "the backend server failed");
+  }
+
+  private void retryOrEnd(BackendCall from, boolean hasRun, String reason, String error) {
+    if (takeRetry(hasRun)) {
+      retry(from, reason);
     } else {
-      endWithError("the backend server failed", false);
+      endWithError(error, false);
     }
   }
 
@@ -302,21 +317,15 @@
       return;
     }
     dispatcher.outcomes().onFailure(this, from, reason);
-    if (takeRetry(true)) {
-      retry(from, reason);
-    } else {
-      endWithError(reason, false);
-    }
+    retryOrEnd(from, true, reason, reason);
   }
 
   /** Ends the exchange at its deadline and retries it elsewhere if the backend server is silent. */
   void tick(long now) {
-    if (done) {
+    if (endIfLate(now)) {
       return;
     }
-    if (now >= request.deadlineMicros()) {
-      endUnfinished("the time is up", true);
-    } else if (call != null && !call.hasEnded()) {
+    if (call != null && !call.hasEnded()) {
       long silentMicros = now - call.lastProgressAt();
       long silenceTimeout = dispatcher.silenceTimeoutMicros(this, call, streaming);
       if (silentMicros > silenceTimeout && writer.isWritable() && takeRetry(true)) {
@@ -330,16 +339,10 @@
 
   /** Cancels an open call and ends the exchange with what is known of its sends. */
   void endUnfinished(String reason, boolean timedOut) {
-    cancelCall();
+    call().ifPresent(BackendCall::cancel);
     endWithError(reason, timedOut);
   }
 
-  private void cancelCall() {
-    if (call != null) {
-      call.cancel();
-    }
-  }
-
   /** Returns whether a backend server may have run the request. */
   boolean mayHaveRun() {
     return sendTracker.mayHaveRun();
@@ -378,7 +381,7 @@
   /** Cancels the exchange after the caller has closed its connection. */
   void onCallerDisconnected() {
     if (!done) {
-      cancelCall();
+      call().ifPresent(BackendCall::cancel);
       finish("caller_gone");
     }
   }
--- a/edge/src/main/java/org/kumquatplank/edge/ResponseWriter.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ResponseWriter.java
@@ -24,6 +24,9 @@
   /** Closes the connection, so that the caller sees that the response is incomplete. */
   void abort();
 
+  /** Returns whether the connection of the caller is open. */
+  boolean isOpen();
+
   /** Returns whether the outbound buffer has room for more bytes. */
   boolean isWritable();
 }
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -142,6 +143,26 @@
     return trafficLoop.submit(dataPlane::openExchanges).syncUninterruptibly().getNow();
   }
 
+  /** Lets the traffic thread stand still for a time from now on, as in a frozen process. */
+  void freeze(long millis) {
+    CountDownLatch begun = new CountDownLatch(1);
+    trafficLoop.execute(
+        () -> {
+          begun.countDown();
+          pause(millis);
+        });
+    await(() -> begun.getCount() == 0);
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new AssertionError(e);
+    }
+  }
+
   /** Writes a new version of the configuration with these API keys. */
   void putCatalog(String keys) {
     String route =
@@ -176,12 +197,7 @@
       if (System.nanoTime() > end) {
         throw new AssertionError("condition did not hold within 8 s");
       }
-      try {
-        Thread.sleep(20);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new AssertionError(e);
-      }
+      pause(20);
     }
   }
 
