Order waiting requests by work and lane, and reject by a forecast

Cause: the queue ordered by priority and age only. Its rule for the fewest in-flight requests of an account was never told of any. A request that no server took held up all behind it, also those that could run elsewhere, and each start and removal scanned and sorted the whole queue. Requests waited for half of their time whatever was known of the pace, and rejected callers came back within 0.15 to 0.4 s, all of them.

WaitingRequests replaces WaitQueue: priority, then requests that can still meet their target (each fourth start goes to late ones), then equal work for accounts and routes, then age; a lane (regions, first or repeated send) without room does not hold up the others. StartForecast rejects on arrival what can't start in its time, from the starts of the last two seconds, and lets others wait as long as a response can still come. ReturnSchedule gives rejected callers one time each.

--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -25,7 +25,6 @@
 import org.kumquatplank.core.dispatch.SegmentCrashTracker;
 import org.kumquatplank.core.dispatch.SilenceTimeout;
 import org.kumquatplank.core.dispatch.VersionRule;
-import org.kumquatplank.core.dispatch.WaitQueue;
 import org.kumquatplank.core.rollout.VersionStats;
 import org.kumquatplank.platform.wire.EdgeSettings;
 
@@ -42,9 +41,6 @@
   /** Confidence, 0 to 100, that a model states for its response; below it a larger one is used. */
   private static final int MIN_CONFIDENCE = 60;
 
-  /** Fraction of its remaining time that a request may spend in the queue. */
-  private static final double MAX_QUEUE_WAIT_RATIO = 0.5;
-
   private final BackendPool pool;
   private final SendGate gate;
   private final EdgeMetrics metrics;
@@ -56,7 +52,7 @@
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
   private final CallOutcomes outcomes;
   private final RetryLimits retryLimits;
-  private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
+  private final Map<String, ServiceQueue> queues = new HashMap<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private boolean serversKnown;
   private Optional<DrainSchedule> drain = Optional.empty();
@@ -160,8 +156,8 @@
     dispatch(exchange);
   }
 
-  private WaitQueue<Exchange> queue(Exchange exchange) {
-    return queues.computeIfAbsent(exchange.request().service(), s -> WaitQueue.create());
+  private ServiceQueue queue(Exchange exchange) {
+    return queues.computeIfAbsent(exchange.request().service(), s -> new ServiceQueue());
   }
 
   /** Takes one retry from the limit shared by all instances; returns false if exhausted. */
@@ -190,9 +186,8 @@
       }
       return;
     }
-    WaitQueue<Exchange> queue = queue(exchange);
-    boolean hasRequestsAhead = queue.size() > 0 && queue.countAhead(exchange.request()) > 0;
-    if (!hasRequestsAhead && tryDispatch(exchange, now)) {
+    ServiceQueue queue = queue(exchange);
+    if (!queue.hasAhead(exchange) && tryDispatch(exchange, now)) {
       return;
     }
     if (!choice.isServable(exchange)) {
@@ -203,25 +198,26 @@
       rejectBackingOff(exchange);
       return;
     }
-    exchange.setQueued(true);
-    queue.add(exchange.request(), exchange, startDeadline(exchange, now));
-    metrics.count("waited");
-  }
-
-  private static long startDeadline(Exchange exchange, long now) {
-    long remainingMicros = exchange.request().deadlineMicros() - now;
-    return now + (long) (remainingMicros * MAX_QUEUE_WAIT_RATIO);
+    if (queue.add(exchange, now)) {
+      metrics.count("waited");
+    } else {
+      reject(exchange, "refused_forecast", "no room in time, by the forecast");
+    }
   }
 
   /** Returns whether all backend servers want nothing for longer than the request may wait. */
   private boolean opensTooLate(Exchange exchange, long now) {
     OptionalLong opensAt = choice.opensAt(exchange, now);
-    return opensAt.isPresent() && opensAt.getAsLong() > startDeadline(exchange, now);
+    return opensAt.isPresent() && opensAt.getAsLong() > ServiceQueue.blindDeadline(exchange, now);
+  }
+
+  private void reject(Exchange exchange, String counter, String reason) {
+    metrics.count(counter);
+    exchange.endWithError(reason, false);
   }
 
   private void rejectBackingOff(Exchange exchange) {
-    metrics.count("refused_backing_off");
-    exchange.endWithError("all backend servers ask to wait", false);
+    reject(exchange, "refused_backing_off", "all backend servers ask to wait");
   }
 
   /** Starts to drain: no request is sent for the first time after the schedule allows it. */
@@ -239,8 +235,7 @@
   }
 
   private void rejectLeaving(Exchange exchange) {
-    metrics.count("refused_leaving");
-    exchange.endWithError(LEAVING, false);
+    reject(exchange, "refused_leaving", LEAVING);
   }
 
   private void rejectQueuedLeaving(long now) {
@@ -260,14 +255,14 @@
   }
 
   private void rejectBlocked(Exchange exchange, BlockedSegment block) {
-    metrics.count("refused_blocked_segment");
-    exchange.endWithError("backend servers crash under segment " + block.id(), false);
+    reject(
+        exchange, "refused_blocked_segment", "backend servers crash under segment " + block.id());
   }
 
   private void rejectQueuedBlocked() {
-    for (WaitQueue<Exchange> queue : queues.values()) {
+    for (ServiceQueue queue : queues.values()) {
       queue
-          .removeMatching(request -> crashTracker.blockOf(request).isPresent())
+          .matching(request -> crashTracker.blockOf(request).isPresent())
           .forEach(e -> crashTracker.blockOf(e.request()).ifPresent(b -> rejectBlocked(e, b)));
     }
   }
@@ -278,12 +273,12 @@
       exchange.setModel(modelChooser.firstModel(request));
     }
     Optional<BackendSelector.Selection> selection = choice.select(exchange, now);
-    if (selection.isEmpty()) {
-      return false;
-    }
-    choice.recordSend(exchange, selection.get(), now);
-    exchange.send(selection.get(), now);
-    return true;
+    selection.ifPresent(
+        s -> {
+          choice.recordSend(exchange, s, now);
+          exchange.send(s, now);
+        });
+    return selection.isPresent();
   }
 
   /** Returns the larger model to use instead of forwarding this response, if any. */
@@ -310,8 +305,9 @@
   private void startQueued() {
     try {
       long now = Clock.micros();
-      for (WaitQueue<Exchange> queue : queues.values()) {
-        queue.startWaiting(
+      for (ServiceQueue queue : queues.values()) {
+        queue.start(
+            now,
             e ->
                 e.endIfLate(now)
                     || (crashTracker.blockOf(e.request()).isEmpty() && tryDispatch(e, now)));
@@ -323,8 +319,8 @@
 
   /** Expires queued requests and checks time-outs; called every 50 ms while requests are open. */
   void tick(long now) {
-    for (WaitQueue<Exchange> queue : queues.values()) {
-      queue.removeExpired(now).forEach(e -> e.endWithError("no room in time", false));
+    for (ServiceQueue queue : queues.values()) {
+      queue.removeHopeless(now).forEach(e -> reject(e, "refused_no_room", "no room in time"));
     }
     crashDetector.update(now);
     rejectQueuedBlocked();
@@ -352,13 +348,14 @@
       return RetryDelay.LEAVING_SECONDS;
     }
     long now = Clock.micros();
-    DispatchRequest request = exchange.request();
-    Optional<BlockedSegment> block = crashTracker.blockOf(request);
+    Optional<BlockedSegment> block = crashTracker.blockOf(exchange.request());
     OptionalLong notBefore =
         block.isPresent()
             ? OptionalLong.of(block.get().nextTrialAt())
             : choice.opensAt(exchange, now);
-    return RetryDelay.seconds(request.deadlineMicros(), notBefore, now);
+    return notBefore.isPresent()
+        ? RetryDelay.seconds(notBefore.getAsLong(), now)
+        : queue(exchange).returnSeconds(exchange.request(), now);
   }
 
   /** Sends a backend server nothing more for the time that it named in a refusal. */
@@ -388,6 +385,10 @@
       queue(exchange).remove(exchange);
     }
     boolean success = outcome.equals("answered") || outcome.equals("streamed");
+    if (success) {
+      long sentAt = exchange.call().map(BackendCall::sentAt).orElseGet(Clock::micros);
+      queue(exchange).recordResponse(exchange, Clock.micros() - sentAt);
+    }
     metrics.count(success ? "good" : "not_good");
     if (!success || EdgeLog.sampleSuccess()) {
       ExchangeLog.done(exchange, outcome);
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -106,9 +106,7 @@
     return forwarded.head().routerSelectsModel();
   }
 
-  /**
-   * Ends the exchange if its deadline has passed or its caller has left; returns whether it did.
-   */
+  /** Ends the exchange if its time is up or its caller has left; returns whether it has ended. */
   boolean endIfLate(long now) {
     if (done) {
       return true;
@@ -322,10 +320,7 @@
 
   /** Ends the exchange at its deadline and retries it elsewhere if the backend server is silent. */
   void tick(long now) {
-    if (endIfLate(now)) {
-      return;
-    }
-    if (call != null && !call.hasEnded()) {
+    if (!endIfLate(now) && call != null && !call.hasEnded()) {
       long silentMicros = now - call.lastProgressAt();
       long silenceTimeout = dispatcher.silenceTimeoutMicros(this, call, streaming);
       if (silentMicros > silenceTimeout && writer.isWritable() && takeRetry(true)) {
--- a/edge/src/main/java/org/kumquatplank/edge/RetryDelay.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RetryDelay.java
@@ -1,8 +1,6 @@
 package org.kumquatplank.edge;
 
-import java.util.OptionalLong;
-
-/** Computes when a rejected caller should retry. Stateless and thread-safe. */
+/** Computes when a caller should retry whom no backend server takes until a known time. */
 final class RetryDelay {
   /** Short, so that a caller retries at another instance at once while this one drains. */
   static final double LEAVING_SECONDS = 0.02;
@@ -13,25 +11,15 @@
   /** Spreads the callers that were rejected at the same time. */
   private static final double JITTER_SECONDS = 0.25;
 
-  private static final double MIN_SECONDS = 0.01;
-
-  /** A later retry would leave too little time for the response. */
-  private static final double MAX_RATIO_OF_TIME_LEFT = 1.0 / 3;
-
   private RetryDelay() {}
 
   /**
    * Returns the delay, seconds.
    *
-   * @param deadlineMicros deadline of the request, microseconds
-   * @param notBefore time before which the request would be rejected again, microseconds, if known
+   * @param notBefore time before which the request would be rejected again, microseconds
    */
-  static double seconds(long deadlineMicros, OptionalLong notBefore, long now) {
+  static double seconds(long notBefore, long now) {
     double delay = BASE_SECONDS + JITTER_SECONDS * Math.random();
-    if (notBefore.isPresent()) {
-      return delay + Math.max(0, notBefore.getAsLong() - now) / MICROS_PER_SECOND;
-    }
-    double secondsLeft = (deadlineMicros - now) / MICROS_PER_SECOND;
-    return Math.max(MIN_SECONDS, Math.min(secondsLeft * MAX_RATIO_OF_TIME_LEFT, delay));
+    return delay + Math.max(0, notBefore - now) / MICROS_PER_SECOND;
   }
 }
