Hold requests while a started instance learns its configuration

Cause: when all instances return at once, callers connect as soon as a port listens.

For 5 s after the start a request of a service without any listed server waits in the queue.

--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -33,6 +33,7 @@
   private final EdgeMetrics metrics;
   private final Set<CallerConnection> connections = new HashSet<>();
   private final BufferLimit bufferLimit = new BufferLimit();
+  private final StartupHold startupHold = new StartupHold();
   private boolean draining;
   private long rejectNewAt = Long.MAX_VALUE;
 
@@ -64,6 +65,7 @@
    */
   void drain(long acceptUntil) {
     draining = true;
+    startupHold.releaseAll(h -> rejectUnready(h.connection(), h.head()));
     rejectNewAt = acceptUntil;
   }
 
@@ -77,6 +79,7 @@
   }
 
   void sweep(long now) {
+    startupHold.release(now, h -> rejectUnready(h.connection(), h.head()));
     List.copyOf(connections).forEach(c -> c.sweep(now));
   }
 
@@ -97,7 +100,9 @@
     long now = Clock.micros();
     Optional<Catalog> catalog = dispatcher.catalog().catalog();
     if (catalog.isEmpty()) {
-      rejectNotRun(connection, head, NOT_READY_RETRY_SECONDS, "no configuration is known yet");
+      if (draining || !startupHold.add(connection, head, body, now)) {
+        rejectUnready(connection, head);
+      }
       return Optional.empty();
     }
     if (now >= rejectNewAt) {
@@ -107,6 +112,18 @@
     return admit(connection, head, body, catalog.get(), now);
   }
 
+  private void rejectUnready(CallerConnection connection, CallerRequestHead head) {
+    rejectNotRun(connection, head, NOT_READY_RETRY_SECONDS, "no configuration is known yet");
+  }
+
+  /** Admits the requests that arrived before the configuration was known. */
+  void onCatalog(Catalog catalog) {
+    startupHold.releaseAll(
+        h ->
+            h.connection()
+                .setExchange(admit(h.connection(), h.head(), h.body(), catalog, h.arrivedAt())));
+  }
+
   private Optional<Exchange> admit(
       CallerConnection connection, CallerRequestHead head, byte[] body, Catalog catalog, long now) {
     Optional<Route> route = catalog.route(head.host(), head.path());
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -18,6 +18,10 @@
  * <p>Confined to the traffic thread.
  */
 final class BackendChoice {
+  /** Time after a start in which the list of backend servers may still be incomplete. */
+  private static final long STARTUP_MICROS = 5_000_000;
+
+  private final long createdAt = Clock.micros();
   private final BackendRegistry registry;
   private final BackendSelector selector;
   private Map<String, VersionRule> versionRules = Map.of();
@@ -79,6 +83,11 @@
     return selector.isServable(servers(exchange), exchange.request(), constraints(exchange));
   }
 
+  /** Returns whether the instance has just started and no server of the service is listed yet. */
+  boolean awaitsServers(Exchange exchange, long now) {
+    return now - createdAt < STARTUP_MICROS && servers(exchange).isEmpty();
+  }
+
   /**
    * Returns the time until which all backend servers of the service want nothing, microseconds, or
    * nothing if one of them takes requests.
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -283,6 +283,11 @@
     exchange = admission.begin(this, completeRequest, bytes);
   }
 
+  /** Sets the exchange of a request that was held before it began. */
+  void setExchange(Optional<Exchange> begun) {
+    exchange = begun;
+  }
+
   @Override
   public void respond(FullHttpResponse response) {
     setConnectionHeader(response.headers());
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -155,7 +155,11 @@
   }
 
   void setCatalog(Catalog catalog) {
-    loop.execute(() -> dispatcher.catalog().set(catalog));
+    loop.execute(
+        () -> {
+          dispatcher.catalog().set(catalog);
+          admission.onCatalog(catalog);
+        });
   }
 
   void setServers(List<BackendServer> servers) {
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -190,7 +190,7 @@
     if (!queue.hasAhead(exchange) && tryDispatch(exchange, now)) {
       return;
     }
-    if (!choice.isServable(exchange)) {
+    if (!choice.isServable(exchange) && !choice.awaitsServers(exchange, now)) {
       exchange.endWithError("no backend server may run it", false);
       return;
     }
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -98,20 +98,40 @@
     EdgeFixture fixture = new EdgeFixture(graceMillis);
     fixture.putCatalog("\"key-1\"");
     for (Function<Received, Behaviour> script : scripts) {
-      String id = "i-" + fixture.backends.size();
-      FakeBackendServer backend = FakeBackendServer.open(HOST, id, script);
-      fixture.backends.add(backend);
-      fixture.store.put("servers", id, backend.entry("pool", "ready"));
-      backend.onRestart(endedId -> fixture.replaceEntry(endedId, backend));
+      fixture.openBackend(script);
+      fixture.putServer(fixture.backends.size() - 1);
     }
-    ControlPlane control =
-        new ControlPlane(fixture.settings, 1, fixture.controlLoop, fixture.dataPlane);
-    fixture.dataPlane.start(control::onReport);
-    control.start();
+    fixture.startInstance();
     fixture.await(() -> fixture.readiness() == 200);
     return fixture;
   }
 
+  /** Starts an instance whose store is still empty, and a backend server that isn't listed. */
+  static EdgeFixture startWithEmptyStore(Function<Received, Behaviour> script) throws IOException {
+    EdgeFixture fixture = new EdgeFixture(8_000);
+    fixture.openBackend(script);
+    fixture.startInstance();
+    return fixture;
+  }
+
+  private void openBackend(Function<Received, Behaviour> script) throws IOException {
+    FakeBackendServer backend = FakeBackendServer.open(HOST, "i-" + backends.size(), script);
+    backends.add(backend);
+    backend.onRestart(endedId -> replaceEntry(endedId, backend));
+  }
+
+  /** Lists a backend server in the store. */
+  void putServer(int number) {
+    FakeBackendServer backend = backends.get(number);
+    store.put("servers", backend.id(), backend.entry("pool", "ready"));
+  }
+
+  private void startInstance() {
+    ControlPlane control = new ControlPlane(settings, 1, controlLoop, dataPlane);
+    dataPlane.start(control::onReport);
+    control.start();
+  }
+
   private void replaceEntry(String endedId, FakeBackendServer backend) {
     store.drop("servers", endedId);
     store.put("servers", backend.id(), backend.entry("pool", "ready"));
