--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -86,21 +86,23 @@
     return noPrefillAhead;
   }
 
-  void onConnected(BackendConnection newConnection) {
-    if (ended) {
-      return;
+  /** Sends the request on a connection; returns false if it must not be sent any more. */
+  boolean onConnected(BackendConnection newConnection) {
+    long now = Clock.micros();
+    if (ended || exchange.endIfLate(now)) {
+      return false;
     }
-    if (!exchange.dispatcher().permits(exchange, selection.backend())) {
+    if (!exchange.dispatcher().choice().permits(exchange, selection.backend())) {
       finish();
-      newConnection.channel().close();
       exchange.onNotSent();
-      return;
+      return false;
     }
     connection = newConnection;
-    sentAt = Clock.micros();
+    sentAt = now;
     lastProgressAt = sentAt;
     sendTracker.setState(sendNumber, SendState.MAY_HAVE_RUN);
     connection.send(this, exchange.backendRequest(this));
+    return true;
   }
 
   void onConnectFailed(String reason) {
@@ -128,9 +130,12 @@
                             l.slots(),
                             l.slowdownFactor(),
                             lastProgressAt)));
-    exchange.dispatcher().onRequestLimit(selection.backend(), newHead.requestsPerSecond());
+    exchange
+        .dispatcher()
+        .choice()
+        .setRequestLimit(selection.backend(), newHead.requestsPerSecond());
     if (!isFromOtherServer(newHead)) {
-      exchange.dispatcher().coldStarts().onResponse(selection.backend(), newHead);
+      exchange.dispatcher().choice().coldStarts().onResponse(selection.backend(), newHead);
     }
     sendTracker.setState(sendNumber, newHead.notExecuted() ? SendState.NOT_RUN : SendState.RAN);
     if (newHead.backOffMillis().isPresent()) {
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -28,6 +29,11 @@
   private static final int MIN_CONFIDENCE = 60;
 
   private final ModelChooser modelChooser = ModelChooser.create(MIN_CONFIDENCE);
+
+  /** Time after a start in which the list of backend servers may still be incomplete. */
+  private static final long STARTUP_MICROS = 5_000_000;
+
+  private final long createdAt = Clock.micros();
   private final BackendRegistry registry;
   private final BackendSelector selector;
   private final ColdStarts coldStarts;
@@ -100,13 +106,24 @@
   }
 
   void setLiveInstances(int live) {
-    liveInstances = live;
+    liveInstances = Math.max(1, live);
   }
 
   int liveInstances() {
     return liveInstances;
   }
 
+  /** Applies the limit that a response names, or that it names none. */
+  void setRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
+    if (backend.setRequestLimit(requestsPerSecond, liveInstances, Clock.micros())) {
+      EdgeLog.event("backend_limit")
+          .addKeyValue("backend", backend.server().id())
+          .addKeyValue("per_second", requestsPerSecond.isPresent() ? requestsPerSecond : "none")
+          .addKeyValue("instances", liveInstances)
+          .log();
+    }
+  }
+
   /** Returns the best backend server that takes the request now. */
   Optional<BackendSelector.Selection> select(Exchange exchange, long now) {
     if (exchange.model().isEmpty() && exchange.routerSelectsModel()) {
@@ -135,6 +152,11 @@
     return selector.isServable(servers(exchange), exchange.request(), constraints(exchange));
   }
 
+  /** Returns whether the instance has just started and no server of the service is listed yet. */
+  boolean awaitsServers(Exchange exchange, long now) {
+    return now - createdAt < STARTUP_MICROS && servers(exchange).isEmpty();
+  }
+
   /**
    * Returns the time until which all backend servers of the service want nothing, microseconds, or
    * nothing if one of them takes requests.
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -8,21 +8,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
@@ -262,9 +256,7 @@
         Optional.of(
             new RequestBody(HttpUtil.getContentLength(newRequest, -1L), limits.maxBodyBytes()));
     if (HttpUtil.is100ContinueExpected(newRequest)) {
-      channel.writeAndFlush(
-          new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+      channel.writeAndFlush(CallerResponses.goOn());
     }
   }
 
@@ -301,6 +293,11 @@
     exchange = admission.begin(this, completeRequest, bytes);
   }
 
+  /** Sets the exchange of a request that was held before it began. */
+  void setExchange(Optional<Exchange> begun) {
+    exchange = begun;
+  }
+
   @Override
   public void respond(FullHttpResponse response) {
     setConnectionHeader(response.headers());
@@ -309,25 +306,14 @@
 
   @Override
   public void respond(int status, HttpHeaders headers, ByteBuf content) {
-    headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(content.readableBytes()));
     setConnectionHeader(headers);
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            content,
-            headers,
-            DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
-    writeLast(response);
+    writeLast(CallerResponses.whole(status, headers, content));
   }
 
   @Override
   public void beginStream(int status, HttpHeaders headers) {
-    headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     setConnectionHeader(headers);
-    HttpResponse head =
-        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-    channel.write(head);
+    channel.write(CallerResponses.streamHead(status, headers));
   }
 
   @Override
@@ -358,6 +344,11 @@
     channel.close();
   }
 
+  @Override
+  public boolean isOpen() {
+    return channel.isActive();
+  }
+
   @Override
   public boolean isWritable() {
     return channel.isWritable();
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -20,8 +20,6 @@
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.EdgeDigest;
-import org.kumquatplank.link.proto.EdgeLoad;
-import org.kumquatplank.link.proto.LeavingBackend;
 import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreClient;
 import org.kumquatplank.platform.store.StoreRecord;
@@ -310,20 +308,8 @@
             .setCatalogVersion(catalogVersion())
             .setOperatorOffset(operatorRecords.status().nextOffset())
             .setOperatorReaderAddress(operatorReaderAddress());
-    for (PeerLoad load : trafficReport.loads()) {
-      digest.addLoads(
-          EdgeLoad.newBuilder()
-              .setBackend(load.backendId())
-              .setRequests(load.inFlightRequests())
-              .setUnreadTokens(load.pendingPrefillTokens())
-              .setSuspect(load.suspect()));
-    }
-    for (LeavingServer server : trafficReport.leaving()) {
-      digest.addLeavingBackends(
-          LeavingBackend.newBuilder()
-              .setBackend(server.id())
-              .setStartedMillis(server.startedMillis()));
-    }
+    BackendNewsCodec.addLoads(digest, trafficReport.loads());
+    BackendNewsCodec.addLeaving(digest, trafficReport.leaving());
     ColdNewsCodec.addTo(digest, trafficReport.cold(), now);
     if (!trafficReport.crashEvidence().isEmpty()) {
       digest.setCrashEvidence(CrashEvidenceCodec.encode(trafficReport.crashEvidence(), now));
@@ -350,16 +336,8 @@
     long now = Clock.micros();
     rollouts.onDigest(digest, now);
     staleness.onDigest(digest, catalogVersion(), now);
-    List<PeerLoad> loads = new ArrayList<>();
-    for (EdgeLoad load : digest.getLoadsList()) {
-      loads.add(
-          new PeerLoad(
-              load.getBackend(), load.getRequests(), load.getUnreadTokens(), load.getSuspect()));
-    }
-    receivedLoads.put(digest.getInstance(), loads);
-    for (LeavingBackend server : digest.getLeavingBackendsList()) {
-      receivedLeaving.add(new LeavingServer(server.getBackend(), server.getStartedMillis()));
-    }
+    receivedLoads.put(digest.getInstance(), BackendNewsCodec.loads(digest));
+    receivedLeaving.addAll(BackendNewsCodec.leaving(digest));
     ColdNewsCodec.decode(digest.getColdBackendsList(), now, receivedCold);
     paces.onDigest(digest);
     if (digest.hasCrashEvidence()) {
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -47,6 +47,7 @@
   private final EdgeSettings settings;
   private final EventLoop loop;
   private final EdgeMetrics metrics = new EdgeMetrics();
+  private final SendGate gate;
   private final BackendPool pool;
   private final Dispatcher dispatcher;
   private final AdmissionController admission;
@@ -60,8 +61,9 @@
   DataPlane(EdgeSettings settings, EventLoop loop) {
     this.settings = settings;
     this.loop = loop;
-    this.pool = new BackendPool(loop);
-    this.dispatcher = new Dispatcher(settings, pool, metrics);
+    this.gate = new SendGate(loop);
+    this.pool = new BackendPool(loop, gate);
+    this.dispatcher = new Dispatcher(settings, pool, gate, metrics);
     this.admission = new AdmissionController(dispatcher, metrics, settings.resources());
   }
 
@@ -155,7 +157,11 @@
   }
 
   void setCatalog(Catalog catalog) {
-    loop.execute(() -> dispatcher.setCatalog(catalog));
+    loop.execute(
+        () -> {
+          dispatcher.setCatalog(catalog);
+          admission.onCatalog(catalog);
+        });
   }
 
   void setServers(List<BackendServer> servers) {
@@ -180,10 +186,11 @@
     loop.execute(
         () -> {
           addresses.set(readyInstances(report.readyPeers()));
-          dispatcher.setLiveInstances(report.liveInstances());
-          report.loads().forEach(dispatcher::setPeerLoads);
-          dispatcher.addLeaving(report.leaving());
-          dispatcher.coldStarts().onControlReport(report.readyPeers(), report.cold());
+          dispatcher.choice().setLiveInstances(report.liveInstances());
+          long now = Clock.micros();
+          report.loads().forEach((p, loads) -> dispatcher.registry().setPeerLoads(p, loads, now));
+          dispatcher.registry().addLeaving(report.leaving());
+          dispatcher.choice().coldStarts().onControlReport(report.readyPeers(), report.cold());
           report.paces().forEach(dispatcher.paces()::add);
           dispatcher.crashDetector().setSendsTrials(report.sendsTrials());
           dispatcher.catalog().setConfirmedAt(report.catalogConfirmedAt());
@@ -206,10 +213,11 @@
   }
 
   private TrafficReport report() {
+    gate.beat(Clock.micros());
     return new TrafficReport(
-        dispatcher.ownLoads(),
-        dispatcher.leaving(),
-        dispatcher.coldStarts().cold(),
+        dispatcher.registry().ownLoads(Clock.micros()),
+        dispatcher.registry().leaving(),
+        dispatcher.choice().coldStarts().cold(),
         dispatcher.paces().update(Clock.micros()),
         dispatcher.versionStats(),
         dispatcher.crashDetector().evidence(),
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -16,16 +15,12 @@
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.dispatch.CrashEvidence.BlockedSegment;
-import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.DrainSchedule;
-import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.Locality;
-import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.PrefillRate;
 import org.kumquatplank.core.dispatch.SegmentCrashTracker;
 import org.kumquatplank.core.dispatch.SilenceTimeout;
 import org.kumquatplank.core.dispatch.VersionRule;
-import org.kumquatplank.core.dispatch.WaitQueue;
 import org.kumquatplank.core.placement.PlacementRules;
 import org.kumquatplank.core.rollout.VersionStats;
 import org.kumquatplank.platform.wire.EdgeSettings;
@@ -40,10 +35,8 @@
 
   private static final String LEAVING = "this instance is leaving";
 
-  /** Fraction of its remaining time that a request may spend in the queue. */
-  private static final double MAX_QUEUE_WAIT_RATIO = 0.5;
-
   private final BackendPool pool;
+  private final SendGate gate;
   private final EdgeMetrics metrics;
   private final ConfirmedCatalog catalog;
   private final BackendRegistry registry = BackendRegistry.create();
@@ -53,15 +46,17 @@
   private final CallOutcomes outcomes;
   private final PaceMonitor paces;
   private final RetryLimits retryLimits;
-  private final Map<String, WaitQueue<Exchange>> queues = new HashMap<>();
+  private final Map<String, ServiceQueue> queues = new HashMap<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private boolean serversKnown;
   private Optional<DrainSchedule> drain = Optional.empty();
   private Runnable onFirstExchange = () -> {};
   private boolean ticking;
+  private boolean startsQueued;
 
-  Dispatcher(EdgeSettings settings, BackendPool pool, EdgeMetrics metrics) {
+  Dispatcher(EdgeSettings settings, BackendPool pool, SendGate gate, EdgeMetrics metrics) {
     this.pool = pool;
+    this.gate = gate;
     this.metrics = metrics;
     this.catalog = ConfirmedCatalog.create(settings.limits().configPropagationMillis());
     this.choice =
@@ -108,35 +103,18 @@
     outcomes.endUnservable(exchange, choice.placementRefusal(exchange));
   }
 
-  /** Returns whether a request may still be sent to the backend server that was selected. */
-  boolean permits(Exchange exchange, BackendState backend) {
-    return choice.permits(exchange, backend);
-  }
-
   void setVersionRules(Map<String, VersionRule> newRules) {
     choice.setVersionRules(newRules);
     outcomes.versionCounts().setRules(newRules);
   }
 
-  void setLiveInstances(int live) {
-    choice.setLiveInstances(Math.max(1, live));
-  }
-
-  void setPeerLoads(String peer, List<PeerLoad> loads) {
-    registry.setPeerLoads(peer, loads, Clock.micros());
-  }
-
-  /** Returns the backend servers that are known to leave. */
-  List<LeavingServer> leaving() {
-    return registry.leaving();
-  }
-
-  void addLeaving(Collection<LeavingServer> leaving) {
-    registry.addLeaving(leaving);
+  /** Returns the backend servers with what this instance and its peers know of each. */
+  BackendRegistry registry() {
+    return registry;
   }
 
-  ColdStarts coldStarts() {
-    return choice.coldStarts();
+  BackendChoice choice() {
+    return choice;
   }
 
   PaceMonitor paces() {
@@ -172,11 +150,6 @@
     return exchanges.size();
   }
 
-  /** Returns the load of this instance per backend server that it uses or suspects. */
-  List<PeerLoad> ownLoads() {
-    return registry.ownLoads(Clock.micros());
-  }
-
   /** Sets the action to run when a request arrives and no exchange is open. */
   void onFirstExchange(Runnable work) {
     onFirstExchange = work;
@@ -196,8 +169,8 @@
     dispatch(exchange);
   }
 
-  private WaitQueue<Exchange> queue(Exchange exchange) {
-    return queues.computeIfAbsent(exchange.request().service(), s -> WaitQueue.create());
+  private ServiceQueue queue(Exchange exchange) {
+    return queues.computeIfAbsent(exchange.request().service(), s -> new ServiceQueue());
   }
 
   /** Takes one retry from the limit shared by all instances; returns false if exhausted. */
@@ -207,7 +180,13 @@
 
   /** Sends a request to the best backend server, queues it, or fails it if none may serve it. */
   void dispatch(Exchange exchange) {
-    long now = Clock.micros();
+    gate.run(Clock.micros(), () -> dispatchNow(exchange, Clock.micros()));
+  }
+
+  private void dispatchNow(Exchange exchange, long now) {
+    if (exchange.endIfLate(now)) {
+      return;
+    }
     if (isTooLateToStart(exchange, now)) {
       rejectLeaving(exchange);
       return;
@@ -220,12 +199,11 @@
       }
       return;
     }
-    WaitQueue<Exchange> queue = queue(exchange);
-    boolean hasRequestsAhead = queue.size() > 0 && queue.countAhead(exchange.request()) > 0;
-    if (!hasRequestsAhead && tryDispatch(exchange, now)) {
+    ServiceQueue queue = queue(exchange);
+    if (!queue.hasAhead(exchange) && tryDispatch(exchange, now)) {
       return;
     }
-    if (!choice.isServable(exchange)) {
+    if (!choice.isServable(exchange) && !choice.awaitsServers(exchange, now)) {
       rejectUnservable(exchange);
       return;
     }
@@ -233,29 +211,30 @@
       rejectBackingOff(exchange);
       return;
     }
-    if (choice.isWithheld(exchange, startDeadline(exchange, now), now)) {
+    if (choice.isWithheld(exchange, ServiceQueue.blindDeadline(exchange, now), now)) {
       exchange.endWithError("all backend servers are cold", false);
       return;
     }
-    exchange.setQueued(true);
-    queue.add(exchange.request(), exchange, startDeadline(exchange, now));
-    metrics.count("waited");
-  }
-
-  private static long startDeadline(Exchange exchange, long now) {
-    long remainingMicros = exchange.request().deadlineMicros() - now;
-    return now + (long) (remainingMicros * MAX_QUEUE_WAIT_RATIO);
+    if (queue.add(exchange, now)) {
+      metrics.count("waited");
+    } else {
+      reject(exchange, "refused_forecast", "no room in time, by the forecast");
+    }
   }
 
   /** Returns whether all backend servers want nothing for longer than the request may wait. */
   private boolean opensTooLate(Exchange exchange, long now) {
     OptionalLong opensAt = choice.opensAt(exchange, now);
-    return opensAt.isPresent() && opensAt.getAsLong() > startDeadline(exchange, now);
+    return opensAt.isPresent() && opensAt.getAsLong() > ServiceQueue.blindDeadline(exchange, now);
+  }
+
+  private void reject(Exchange exchange, String counter, String reason) {
+    metrics.count(counter);
+    exchange.endWithError(reason, false);
   }
 
   private void rejectBackingOff(Exchange exchange) {
-    metrics.count("refused_backing_off");
-    exchange.endWithError("all backend servers ask to wait", false);
+    reject(exchange, "refused_backing_off", "all backend servers ask to wait");
   }
 
   /** Starts to drain: no request is sent for the first time after the schedule allows it. */
@@ -273,8 +252,7 @@
   }
 
   private void rejectLeaving(Exchange exchange) {
-    metrics.count("refused_leaving");
-    exchange.endWithError(LEAVING, false);
+    reject(exchange, "refused_leaving", LEAVING);
   }
 
   private void rejectQueuedLeaving(long now) {
@@ -294,26 +272,26 @@
   }
 
   private void rejectBlocked(Exchange exchange, BlockedSegment block) {
-    metrics.count("refused_blocked_segment");
-    exchange.endWithError("backend servers crash under segment " + block.id(), false);
+    reject(
+        exchange, "refused_blocked_segment", "backend servers crash under segment " + block.id());
   }
 
   private void rejectQueuedBlocked() {
-    for (WaitQueue<Exchange> queue : queues.values()) {
+    for (ServiceQueue queue : queues.values()) {
       queue
-          .removeMatching(request -> crashTracker.blockOf(request).isPresent())
+          .matching(request -> crashTracker.blockOf(request).isPresent())
           .forEach(e -> crashTracker.blockOf(e.request()).ifPresent(b -> rejectBlocked(e, b)));
     }
   }
 
   private boolean tryDispatch(Exchange exchange, long now) {
     Optional<BackendSelector.Selection> selection = choice.select(exchange, now);
-    if (selection.isEmpty()) {
-      return false;
-    }
-    choice.recordSend(exchange, selection.get(), now);
-    exchange.send(selection.get(), now);
-    return true;
+    selection.ifPresent(
+        s -> {
+          choice.recordSend(exchange, s, now);
+          exchange.send(s, now);
+        });
+    return selection.isPresent();
   }
 
   /** Returns the larger model to use instead of forwarding this response, if any. */
@@ -322,17 +300,31 @@
   }
 
   private void dispatchQueued() {
-    long now = Clock.micros();
-    for (WaitQueue<Exchange> queue : queues.values()) {
-      queue.startWaiting(
-          e -> e.isDone() || (crashTracker.blockOf(e.request()).isEmpty() && tryDispatch(e, now)));
+    if (!startsQueued) {
+      startsQueued = true;
+      gate.run(Clock.micros(), this::startQueued);
+    }
+  }
+
+  private void startQueued() {
+    try {
+      long now = Clock.micros();
+      for (ServiceQueue queue : queues.values()) {
+        queue.start(
+            now,
+            e ->
+                e.endIfLate(now)
+                    || (crashTracker.blockOf(e.request()).isEmpty() && tryDispatch(e, now)));
+      }
+    } finally {
+      startsQueued = false;
     }
   }
 
   /** Expires queued requests and checks time-outs; called every 50 ms while requests are open. */
   void tick(long now) {
-    for (WaitQueue<Exchange> queue : queues.values()) {
-      queue.removeExpired(now).forEach(e -> e.endWithError("no room in time", false));
+    for (ServiceQueue queue : queues.values()) {
+      queue.removeHopeless(now).forEach(e -> reject(e, "refused_no_room", "no room in time"));
     }
     crashDetector.update(now);
     rejectQueuedBlocked();
@@ -341,6 +333,7 @@
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.tick(now);
     }
+    gate.beat(now);
   }
 
   /** Returns the silence of a backend server after which a request is retried, microseconds. */
@@ -359,13 +352,14 @@
       return RetryDelay.LEAVING_SECONDS;
     }
     long now = Clock.micros();
-    DispatchRequest request = exchange.request();
-    Optional<BlockedSegment> block = crashTracker.blockOf(request);
+    Optional<BlockedSegment> block = crashTracker.blockOf(exchange.request());
     OptionalLong notBefore =
         block.isPresent()
             ? OptionalLong.of(block.get().nextTrialAt())
             : choice.opensAt(exchange, now);
-    return RetryDelay.seconds(request.deadlineMicros(), notBefore, now);
+    return notBefore.isPresent()
+        ? RetryDelay.seconds(notBefore.getAsLong(), now)
+        : queue(exchange).returnSeconds(exchange.request(), now);
   }
 
   /** Sends a backend server nothing more for the time that it named in a refusal. */
@@ -384,23 +378,16 @@
         .forEach(this::rejectBackingOff);
   }
 
-  /** Applies the limit that a response names, or that it names none. */
-  void onRequestLimit(BackendState backend, OptionalDouble requestsPerSecond) {
-    if (backend.setRequestLimit(requestsPerSecond, choice.liveInstances(), Clock.micros())) {
-      EdgeLog.event("backend_limit")
-          .addKeyValue("backend", backend.server().id())
-          .addKeyValue("per_second", requestsPerSecond.isPresent() ? requestsPerSecond : "none")
-          .addKeyValue("instances", choice.liveInstances())
-          .log();
-    }
-  }
-
   void onDone(Exchange exchange, String outcome) {
     exchanges.remove(exchange);
     if (exchange.isQueued()) {
       queue(exchange).remove(exchange);
     }
     boolean success = outcome.equals("answered") || outcome.equals("streamed");
+    if (success) {
+      long sentAt = exchange.call().map(BackendCall::sentAt).orElseGet(Clock::micros);
+      queue(exchange).recordResponse(exchange, Clock.micros() - sentAt);
+    }
     metrics.count(success ? "good" : "not_good");
     if (!success || EdgeLog.sampleSuccess()) {
       ExchangeLog.done(exchange, outcome);
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -106,12 +106,24 @@
     return forwarded.head().routerSelectsModel();
   }
 
+  /** Ends the exchange if its time is up or its caller has left; returns whether it has ended. */
+  boolean endIfLate(long now) {
+    if (done) {
+      return true;
+    }
+    if (!writer.isOpen()) {
+      onCallerDisconnected();
+    } else if (now >= request.deadlineMicros()) {
+      endUnfinished("the time is up", true);
+    }
+    return done;
+  }
+
   void send(BackendSelector.Selection selection, long now) {
     sendCount++;
     queued = false;
     call = BackendCall.open(this, selection, sendTracker, now);
-    boolean nonRepeatable = !request.route().isRetryable();
-    dispatcher.pool().acquire(selection.backend(), nonRepeatable, call);
+    dispatcher.pool().acquire(selection.backend(), !request.route().isRetryable(), call);
   }
 
   Object backendRequest(BackendCall forCall) {
@@ -181,6 +193,7 @@
           streaming ? Optional.empty() : dispatcher.largerModel(this, response.confidence());
       if (larger.isPresent()
           && sendCount < request.route().maxAttempts()
+          && Clock.micros() < request.deadlineMicros()
           && dispatcher.takeRetry(this)) {
         from.cancel();
         dispatcher.outcomes().onEscalated(this, from, response.confidence(), larger.get());
@@ -310,12 +323,7 @@
 
   /** Ends the exchange at its deadline and retries it elsewhere if the backend server is silent. */
   void tick(long now) {
-    if (done) {
-      return;
-    }
-    if (now >= request.deadlineMicros()) {
-      endUnfinished("the time is up", true);
-    } else if (call != null && !call.hasEnded()) {
+    if (!endIfLate(now) && call != null && !call.hasEnded()) {
       long silentMicros = now - call.lastProgressAt();
       boolean silent = silentMicros > dispatcher.silenceTimeoutMicros(this, call, streaming);
       if (silent && writer.isWritable() && takeRetry(true)) {
@@ -329,16 +337,10 @@
 
   /** Cancels an open call and ends the exchange with what is known of its sends. */
   void endUnfinished(String reason, boolean timedOut) {
-    cancelCall();
+    call().ifPresent(BackendCall::cancel);
     endWithError(reason, timedOut);
   }
 
-  private void cancelCall() {
-    if (call != null) {
-      call.cancel();
-    }
-  }
-
   /** Returns whether a backend server may have run the request. */
   boolean mayHaveRun() {
     return sendTracker.mayHaveRun();
@@ -377,7 +379,7 @@
   /** Cancels the exchange after the caller has closed its connection. */
   void onCallerDisconnected() {
     if (!done) {
-      cancelCall();
+      call().ifPresent(BackendCall::cancel);
       finish("caller_gone");
     }
   }
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -113,17 +114,11 @@
     EdgeFixture fixture = new EdgeFixture(graceMillis);
     fixture.putCatalog("\"key-1\"");
     for (Function<Received, Behaviour> script : scripts) {
-      String id = "i-" + fixture.backends.size();
-      FakeBackendServer backend = FakeBackendServer.open(HOST, id, script);
-      fixture.backends.add(backend);
-      fixture.store.put("servers", id, backend.entry("pool", "ready"));
-      backend.onRestart(endedId -> fixture.replaceEntry(endedId, backend));
+      fixture.openBackend(script);
+      fixture.putServer(fixture.backends.size() - 1);
     }
     prepared.accept(fixture);
-    ControlPlane control =
-        new ControlPlane(fixture.settings, 1, fixture.controlLoop, fixture.dataPlane);
-    fixture.dataPlane.start(control::onReport);
-    control.start();
+    fixture.startInstance();
     fixture.await(() -> fixture.readiness() == 200);
     return fixture;
   }
@@ -138,6 +133,32 @@
         entry.replace("\"zone\":\"a\"", "\"zone\":\"" + failureDomain + "\""));
   }
 
+  /** Starts an instance whose store is still empty, and a backend server that isn't listed. */
+  static EdgeFixture startWithEmptyStore(Function<Received, Behaviour> script) throws IOException {
+    EdgeFixture fixture = new EdgeFixture(8_000);
+    fixture.openBackend(script);
+    fixture.startInstance();
+    return fixture;
+  }
+
+  private void openBackend(Function<Received, Behaviour> script) throws IOException {
+    FakeBackendServer backend = FakeBackendServer.open(HOST, "i-" + backends.size(), script);
+    backends.add(backend);
+    backend.onRestart(endedId -> replaceEntry(endedId, backend));
+  }
+
+  /** Lists a backend server in the store. */
+  void putServer(int number) {
+    FakeBackendServer backend = backends.get(number);
+    store.put("servers", backend.id(), backend.entry("pool", "ready"));
+  }
+
+  private void startInstance() {
+    ControlPlane control = new ControlPlane(settings, 1, controlLoop, dataPlane);
+    dataPlane.start(control::onReport);
+    control.start();
+  }
+
   private void replaceEntry(String endedId, FakeBackendServer backend) {
     store.drop("servers", endedId);
     store.put("servers", backend.id(), backend.entry("pool", "ready"));
@@ -175,6 +196,26 @@
     putCatalog("\"key-1\"");
   }
 
+  /** Lets the traffic thread stand still for a time from now on, as in a frozen process. */
+  void freeze(long millis) {
+    CountDownLatch begun = new CountDownLatch(1);
+    trafficLoop.execute(
+        () -> {
+          begun.countDown();
+          pause(millis);
+        });
+    await(() -> begun.getCount() == 0);
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new AssertionError(e);
+    }
+  }
+
   /** Writes a new version of the configuration with these API keys. */
   void putCatalog(String keys) {
     putCatalog(keys, "", "");
@@ -221,12 +262,7 @@
       if (System.nanoTime() > end) {
         throw new AssertionError("condition did not hold within 8 s");
       }
-      try {
-        Thread.sleep(20);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new AssertionError(e);
-      }
+      pause(20);
     }
   }
 
--- a/edge/src/test/java/org/kumquatplank/edge/EvacuationDuringConnectTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EvacuationDuringConnectTest.java
@@ -90,6 +90,11 @@
     @Override
     public void abort() {}
 
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
     @Override
     public boolean isWritable() {
       return true;
@@ -133,8 +138,10 @@
     head.headers().set("Content-Length", "0");
     return loop.submit(
             () -> {
+              SendGate gate = new SendGate(loop);
+              EdgeMetrics metrics = new EdgeMetrics();
               Dispatcher dispatcher =
-                  new Dispatcher(settings(), new BackendPool(loop), new EdgeMetrics());
+                  new Dispatcher(settings(), new BackendPool(loop, gate), gate, metrics);
               dispatcher.setServers(servers);
               long now = Clock.micros();
               DispatchRequest request =
@@ -157,7 +164,7 @@
                       new Writer(),
                       new ForwardedRequest(CallerProtocol.decode(head), new byte[0], request),
                       SERVICE,
-                      new BufferLimit());
+                      new BufferLimit(new CallerMemory(settings().resources(), metrics)));
               dispatcher.start(exchange);
               dispatcher.setEvacuated(Set.of("a"));
               return exchange;
