--- a/core/src/test/java/org/kumquatplank/core/membership/LivenessModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/membership/LivenessModelTest.java
@@ -264,5 +264,6 @@
       assertThat(reached)
           .contains("n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9", "n10");
     }
+    assertThat(LivenessTable.rotate(List.of(1, 2), 4, 7)).containsExactly(1, 2);
   }
 }
