Hold requests until servers are listed again; lanes by version on trial; bounded heap of the queue

Change: the check for cold servers needs a server; lanes hold the side of a trial; removed entries leave the heap; each hold ends at its own time, and one that fails does not keep the others.

--- a/core/src/main/java/org/kumquatplank/core/admission/WaitingRequests.java
+++ b/core/src/main/java/org/kumquatplank/core/admission/WaitingRequests.java
@@ -10,8 +10,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.kumquatplank.core.dispatch.DispatchRequest;
+import org.kumquatplank.core.dispatch.VersionRule;
 
 /**
  * Requests that wait for room at the backend servers of one service.
@@ -33,17 +35,37 @@
 
   private static final int MAX_FLOWS_PER_ROUND = 256;
 
+  /** Removed entries that are kept until their latest start, besides as many as wait. */
+  private static final int MAX_REMOVED_ENTRIES = 64;
+
   private final TreeMap<Integer, Level<T>> levels = new TreeMap<>();
   private final Map<T, Waiting<T>> entries = new HashMap<>();
   private final Map<Lane, TreeMap<Integer, Integer>> countByLane = new HashMap<>();
   private final PriorityQueue<Waiting<T>> byLatestStart =
       new PriorityQueue<>(Comparator.comparingLong(Waiting::latestStart));
 
-  private WaitingRequests() {}
+  private final Supplier<VersionRule> versionRule;
+
+  private WaitingRequests(Supplier<VersionRule> versionRule) {
+    this.versionRule = versionRule;
+  }
 
-  /** Returns an empty queue. */
+  /** Returns an empty queue of a service whose versions all get any request. */
   public static <T> WaitingRequests<T> create() {
-    return new WaitingRequests<>();
+    return create(VersionRule.Any::new);
+  }
+
+  /**
+   * Returns an empty queue.
+   *
+   * @param versionRule returns the rule in force for the versions of the service
+   */
+  public static <T> WaitingRequests<T> create(Supplier<VersionRule> versionRule) {
+    return new WaitingRequests<>(versionRule);
+  }
+
+  private Lane laneOf(DispatchRequest request, boolean repeated) {
+    return Lane.of(request, repeated, versionRule.get());
   }
 
   /** The requests of one priority. */
@@ -60,7 +82,7 @@
    * @param latestStart time after which a start is of no use, microseconds
    */
   public void add(DispatchRequest request, T item, boolean repeated, long latestStart) {
-    Waiting<T> entry = new Waiting<>(request, item, Lane.of(request, repeated), latestStart);
+    Waiting<T> entry = new Waiting<>(request, item, laneOf(request, repeated), latestStart);
     entries.put(item, entry);
     byLatestStart.add(entry);
     levels.computeIfAbsent(request.priority(), p -> new Level<>()).inTime.add(entry);
@@ -74,7 +96,7 @@
 
   /** Returns whether a request that may run on the same servers waits and is no less urgent. */
   public boolean hasAhead(DispatchRequest request, boolean repeated) {
-    TreeMap<Integer, Integer> counts = countByLane.get(Lane.of(request, repeated));
+    TreeMap<Integer, Integer> counts = countByLane.get(laneOf(request, repeated));
     return counts != null && !counts.headMap(request.priority(), true).isEmpty();
   }
 
@@ -85,7 +107,7 @@
       ahead += level.getValue().inTime.size() + level.getValue().late.size();
     }
     Level<T> own = levels.get(request.priority());
-    Waiting<T> entry = new Waiting<>(request, null, Lane.of(request, repeated), 0);
+    Waiting<T> entry = new Waiting<>(request, null, laneOf(request, repeated), 0);
     return own == null ? ahead : ahead + own.inTime.countAhead(entry);
   }
 
@@ -128,6 +150,9 @@
    * @param extension returns the latest start of a request as it is seen now, microseconds
    */
   public List<T> removeHopeless(long now, ToLongFunction<DispatchRequest> extension) {
+    if (byLatestStart.size() > 2 * entries.size() + MAX_REMOVED_ENTRIES) {
+      byLatestStart.removeIf(Waiting::isRemoved);
+    }
     List<T> hopeless = new ArrayList<>();
     while (!byLatestStart.isEmpty()
         && (byLatestStart.peek().isRemoved() || byLatestStart.peek().latestStart() <= now)) {
--- a/core/src/main/java/org/kumquatplank/core/dispatch/VersionRule.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/VersionRule.java
@@ -43,6 +43,11 @@
     return this instanceof Trial trial ? new Except(trial.version()) : this;
   }
 
+  /** Returns whether the request goes to a version on trial. */
+  default boolean isOnTrial(DispatchRequest request) {
+    return this instanceof Trial trial && isInTrial(trial, request);
+  }
+
   private static boolean isInTrial(Trial trial, DispatchRequest request) {
     if (request.session().isPresent() && !trial.includesSessions()) {
       return false;
--- a/core/src/test/java/org/kumquatplank/core/admission/WaitingRequestsTest.java
+++ b/core/src/test/java/org/kumquatplank/core/admission/WaitingRequestsTest.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.catalog.RegionRule;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.core.dispatch.Samples;
+import org.kumquatplank.core.dispatch.VersionRule;
 
 class WaitingRequestsTest {
   private static final long SECOND = 1_000_000;
@@ -179,4 +181,37 @@
     queue.remove("again");
     assertThat(queue.size()).isZero();
   }
+
+  /** A full version on trial has no room for a part of the requests only. */
+  @Example
+  void testFullVersionOnTrialHoldsUpNoOthers() {
+    VersionRule rule = new VersionRule.Trial("v2", 0.5, true);
+    WaitingRequests<String> queue = WaitingRequests.create(() -> rule);
+    List<String> started = new ArrayList<>();
+    List<String> others = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      DispatchRequest request = Samples.request(Samples.stream(3), "r" + i);
+      queue.add(request, request.id(), false, 1_000);
+      if (!rule.isOnTrial(request)) {
+        others.add(request.id());
+      }
+    }
+    queue.startWaiting(
+        0,
+        id -> {
+          boolean onOldVersion = others.contains(id);
+          if (onOldVersion) {
+            started.add(id);
+          }
+          return onOldVersion;
+        });
+    assertThat(started).isNotEmpty();
+    DispatchRequest next =
+        IntStream.range(40, 80)
+            .mapToObj(i -> Samples.request(Samples.stream(3), "r" + i))
+            .filter(r -> !rule.isOnTrial(r))
+            .findFirst()
+            .orElseThrow();
+    assertThat(queue.hasAhead(next, false)).isEqualTo(started.size() < others.size());
+  }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AdmissionController.java
@@ -82,10 +82,13 @@
   }
 
   void sweep(long now) {
-    startupHold.release(now, h -> rejectUnready(h.connection(), h.head()));
     memory.sweep(now);
   }
 
+  private void releaseHeld() {
+    startupHold.release(Clock.micros(), h -> rejectUnready(h.connection(), h.head()));
+  }
+
   /** Starts an exchange for a request; returns empty if it was responded to at once. */
   Optional<Exchange> begin(CallerConnection connection, HttpRequest request, byte[] body) {
     CallerRequestHead head;
@@ -105,6 +108,8 @@
     if (catalog.isEmpty()) {
       if (draining || !startupHold.add(connection, head, body, now)) {
         rejectUnready(connection, head);
+      } else {
+        connection.runAfter(StartupHold.holdMicros(head), this::releaseHeld);
       }
       return Optional.empty();
     }
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -105,6 +105,11 @@
             .orElse(request.regions()));
   }
 
+  /** Returns the rule for the versions of a service that is in force. */
+  VersionRule versionRule(String service) {
+    return versionRules.getOrDefault(service, new VersionRule.Any());
+  }
+
   void setLiveInstances(int live) {
     liveInstances = Math.max(1, live);
   }
@@ -207,8 +212,7 @@
 
   private BackendSelector.Constraints constraints(
       Exchange exchange, Optional<String> model, Set<BackendState> excluded) {
-    VersionRule rule =
-        versionRules.getOrDefault(exchange.request().service(), new VersionRule.Any());
+    VersionRule rule = versionRule(exchange.request().service());
     boolean failedBefore = !exchange.excludedBackends().isEmpty();
     return new BackendSelector.Constraints(
         exchange.service(),
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
 import org.kumquatplank.core.catalog.CallerLimits;
 import org.kumquatplank.platform.wire.CallerProtocol;
 import org.kumquatplank.platform.wire.CallerProtocol.LocalResponse;
@@ -293,6 +294,11 @@
     exchange = admission.begin(this, completeRequest, bytes);
   }
 
+  /** Runs work on the traffic thread after some microseconds. */
+  void runAfter(long micros, Runnable work) {
+    channel.eventLoop().schedule(work, micros, TimeUnit.MICROSECONDS);
+  }
+
   /** Sets the exchange of a request that was held before it began. */
   void setExchange(Optional<Exchange> begun) {
     exchange = begun;
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -170,7 +170,8 @@
   }
 
   private ServiceQueue queue(Exchange exchange) {
-    return queues.computeIfAbsent(exchange.request().service(), s -> new ServiceQueue());
+    return queues.computeIfAbsent(
+        exchange.request().service(), s -> new ServiceQueue(() -> choice.versionRule(s)));
   }
 
   /** Takes one retry from the limit shared by all instances; returns false if exhausted. */
@@ -211,7 +212,8 @@
       rejectBackingOff(exchange);
       return;
     }
-    if (choice.isWithheld(exchange, ServiceQueue.blindDeadline(exchange, now), now)) {
+    if (choice.isServable(exchange)
+        && choice.isWithheld(exchange, ServiceQueue.blindDeadline(exchange, now), now)) {
       exchange.endWithError("all backend servers are cold", false);
       return;
     }
--- a/edge/src/main/java/org/kumquatplank/edge/ServiceQueue.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ServiceQueue.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.kumquatplank.core.admission.ReturnSchedule;
 import org.kumquatplank.core.admission.StartForecast;
 import org.kumquatplank.core.admission.WaitingRequests;
 import org.kumquatplank.core.dispatch.DispatchRequest;
+import org.kumquatplank.core.dispatch.VersionRule;
 
 /**
  * The exchanges of one service that wait, and what is known of how long they will.
@@ -19,10 +21,14 @@
   /** Fraction of its remaining time that a request waits if nothing is known of its start. */
   private static final double BLIND_WAIT_RATIO = 0.5;
 
-  private final WaitingRequests<Exchange> waiting = WaitingRequests.create();
+  private final WaitingRequests<Exchange> waiting;
   private final StartForecast forecast = StartForecast.create();
   private final ReturnSchedule returns = ReturnSchedule.create();
 
+  ServiceQueue(Supplier<VersionRule> versionRule) {
+    waiting = WaitingRequests.create(versionRule);
+  }
+
   private static boolean isRepeated(Exchange exchange) {
     return !exchange.excludedBackends().isEmpty();
   }
--- a/edge/src/main/java/org/kumquatplank/edge/StartupHold.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StartupHold.java
@@ -13,7 +13,7 @@
  * is held is bounded in time, count and bytes. Confined to the traffic thread.
  */
 final class StartupHold {
-  private static final long MAX_MICROS = 1_500_000;
+  private static final long MAX_MILLIS = 1_500;
 
   /** Part of the time of a request that it may be held; a caller keeps the rest for a retry. */
   private static final long PARTS_OF_TIME_LEFT = 3;
@@ -69,18 +69,36 @@
     if (requests.size() >= MAX_REQUESTS || bytes + body.length > MAX_BYTES) {
       return false;
     }
-    long timeoutMillis = head.timeoutMillis().orElse(Long.MAX_VALUE / MICROS_PER_MILLI);
-    long longest = Math.min(MAX_MICROS, timeoutMillis * MICROS_PER_MILLI / PARTS_OF_TIME_LEFT);
-    requests.addLast(new Held(connection, head, body, now, now + longest));
+    long heldUntil = now + holdMicros(head);
+    requests.addLast(new Held(connection, head, body, now, heldUntil));
     bytes += body.length;
     return true;
   }
 
+  /** Returns for how long a request may be held, microseconds. */
+  static long holdMicros(CallerRequestHead head) {
+    long millis =
+        Math.min(
+            MAX_MILLIS * PARTS_OF_TIME_LEFT,
+            head.timeoutMillis().orElse(MAX_MILLIS * PARTS_OF_TIME_LEFT));
+    return Math.max(0, millis) * MICROS_PER_MILLI / PARTS_OF_TIME_LEFT;
+  }
+
   /** Hands over all requests whose caller is still there. */
   void releaseAll(Consumer<Held> work) {
     release(Long.MAX_VALUE, work);
   }
 
+  /** A request that fails must not keep the others from a response. */
+  private static void handOver(Held held, Consumer<Held> work) {
+    try {
+      work.accept(held);
+    } catch (RuntimeException e) {
+      EdgeLog.problem("startup_hold", e);
+      held.connection.abort();
+    }
+  }
+
   /** Hands over the requests that were held for long enough, and whose caller is still there. */
   void release(long now, Consumer<Held> work) {
     Deque<Held> kept = new ArrayDeque<>();
@@ -93,7 +111,7 @@
     for (Held held : due) {
       bytes -= held.body.length;
       if (held.connection.isOpen()) {
-        work.accept(held);
+        handOver(held, work);
       }
     }
   }
