--- a/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
+++ b/core/src/main/java/org/kumquatplank/core/dispatch/BackendSelector.java
@@ -252,7 +252,7 @@
     double learned = state.learnedSlowdown(now);
     if (learned != 1) {
       double need = paceTracker.needOfSlowServers(request.service());
-      cost -= need * (learned - 1) * selection.usualMicros();
+      cost = Math.max(0, cost - need * (learned - 1) * selection.usualMicros());
     }
     if (state.isAtLearnedLimit(now)) {
       cost += LEARNED_LIMIT_PENALTY_MICROS;
--- a/core/src/main/java/org/kumquatplank/core/pace/ServerPace.java
+++ b/core/src/main/java/org/kumquatplank/core/pace/ServerPace.java
@@ -58,12 +58,12 @@
   }
 
   /**
-   * Returns by how much the server is slower at this moment than it usually is.
+   * Returns by how much the server is slower at this moment than it usually is, at least 1.
    *
    * @param reportedSlowdown slowdown that the server reports, 1 being normal
    */
   public double momentarySlowdown(double reportedSlowdown) {
-    return reportedSlowdown / usualReportedFactor;
+    return Math.max(1, reportedSlowdown / usualReportedFactor);
   }
 
   /** Records a slowdown that the server reported, and returns the logarithm of its excess. */
@@ -72,7 +72,7 @@
     double excess = reported - usualReported;
     usualReported += Math.clamp(excess, -REPORTED_STEP, REPORTED_STEP);
     usualReportedFactor = Math.exp(usualReported);
-    return excess;
+    return Math.max(0, excess);
   }
 
   /** Records how far a response was from the usual latency at the same load. */
--- a/core/src/main/java/org/kumquatplank/core/placement/ColdServers.java
+++ b/core/src/main/java/org/kumquatplank/core/placement/ColdServers.java
@@ -82,6 +82,7 @@
   private static final class Entry {
     private final ColdServer state = new ColdServer();
     private BackendServer server;
+    private boolean guessed;
     private long listedAt = Long.MIN_VALUE;
     private long designatedVersion = -1;
     private double designatedRate;
@@ -183,6 +184,7 @@
       return;
     }
     entry.state.setColdUntil(Math.max(until, now));
+    entry.guessed = source == Source.NEW_IN_LIST;
     if (!limited.contains(entry)) {
       limited.add(entry);
     }
@@ -239,11 +241,16 @@
     entry.designatedVersion = settled ? senders.version() : -1;
   }
 
-  /** Returns the servers that are cold. */
+  /**
+   * Returns the servers that are known to be cold, to tell others.
+   *
+   * <p>Others assume it themselves of a process that is new in the list. One that was not in touch
+   * sees processes late, and must not make them cold for all.
+   */
   public List<ColdNews> cold(long now) {
     List<ColdNews> cold = new ArrayList<>();
     for (Entry entry : limited) {
-      if (entry.state.isCold(now)) {
+      if (entry.state.isCold(now) && !entry.guessed) {
         cold.add(
             new ColdNews(entry.server.id(), entry.server.startedMillis(), entry.state.coldUntil()));
       }
--- a/core/src/main/java/org/kumquatplank/core/relay/ReaderElection.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/ReaderElection.java
@@ -17,10 +17,10 @@
  */
 public final class ReaderElection {
   /** Time between the takeovers of two instances that are next to each other by name. */
-  private static final long TAKEOVER_STEP_MICROS = 250_000;
+  private static final long TAKEOVER_STEP_MICROS = 100_000;
 
   /** Longest delay of a takeover, however many peers have smaller names. */
-  private static final long MAX_TAKEOVER_DELAY_MICROS = 1_200_000;
+  private static final long MAX_TAKEOVER_DELAY_MICROS = 400_000;
 
   private final String self;
   private final long maxAgeMicros;
--- a/core/src/test/java/org/kumquatplank/core/relay/ReaderElectionTest.java
+++ b/core/src/test/java/org/kumquatplank/core/relay/ReaderElectionTest.java
@@ -71,8 +71,8 @@
   void testInstancesTakeOverOneAfterTheOtherByName() {
     List<String> names = IntStream.range(100, 490).mapToObj(n -> "i" + n).toList();
     assertThat(readersAt(2_000_001, names)).isEqualTo(2);
-    assertThat(readersAt(2_250_001, names)).isEqualTo(3);
-    assertThat(readersAt(3_200_001, names)).isEqualTo(390);
+    assertThat(readersAt(2_100_001, names)).isEqualTo(3);
+    assertThat(readersAt(2_400_001, names)).isEqualTo(390);
   }
 
   private static long readersAt(long now, List<String> names) {
--- a/edge/src/main/java/org/kumquatplank/edge/AuxiliaryServer.java
+++ b/edge/src/main/java/org/kumquatplank/edge/AuxiliaryServer.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -13,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -89,7 +89,7 @@
   }
 
   /** Stops reading while requests wait for the answer to an earlier one to be written. */
-  private static final class ReadGuard extends ChannelInboundHandlerAdapter {
+  private static final class ReadGuard extends PausableReads {
     private final RequestHandler requests;
 
     ReadGuard(RequestHandler requests) {
@@ -119,10 +119,12 @@
       httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.type());
       httpResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
       boolean keepAlive = HttpUtil.isKeepAlive(request);
-      HttpUtil.setKeepAlive(httpResponse, keepAlive);
+      // The encoder does not know that the response to this method has no body.
+      boolean isHead = request.method().equals(HttpMethod.HEAD);
+      HttpUtil.setKeepAlive(httpResponse, keepAlive && !isHead);
       answering = true;
       ctx.writeAndFlush(httpResponse)
-          .addListener(keepAlive ? f -> decodeNext(ctx) : ChannelFutureListener.CLOSE);
+          .addListener(keepAlive && !isHead ? f -> decodeNext(ctx) : ChannelFutureListener.CLOSE);
     }
 
     /** Goes on after the requests of other connections. */
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -36,6 +36,9 @@
   private static final double NO_ROOM_RETRY_SECONDS = 1;
   private static final long MICROS_PER_MILLI = 1_000;
 
+  /** Bytes of requests sent ahead for which reading stops, where memory is not short. */
+  private static final int MAX_SENT_AHEAD_BYTES = 256 * 1024;
+
   private final AdmissionController admission;
   private final CallerLimits limits;
   private final CallerMemory memory;
@@ -52,8 +55,7 @@
   private long lastActivityAt = Clock.micros();
   private long requestStartedAt;
   private boolean requestStarted;
-  private Optional<ChannelFuture> lastWrite = Optional.empty();
-  private long unwrittenBytes;
+  private UnwrittenResponse unwritten;
 
   CallerConnection(AdmissionController admission, CallerMemory memory, CallerLimits limits) {
     this.admission = admission;
@@ -66,6 +68,7 @@
 
   void addTo(ChannelPipeline pipeline) {
     channel = pipeline.channel();
+    unwritten = new UnwrittenResponse(channel);
     pipeline.addLast(
         new ActivityTracker(), decoder, new HttpResponseEncoder(), new RequestHandler());
   }
@@ -108,6 +111,7 @@
   void resumeReading() {
     paused = false;
     lastActivityAt = Clock.micros();
+    requestStartedAt = lastActivityAt;
     updateReading();
   }
 
@@ -119,13 +123,14 @@
   }
 
   private void updateReading() {
-    boolean sentAhead = isBusyWithResponse() && decoder.undecodedBytes() > limits.maxHeaderBytes();
+    int maxSentAhead = memory.isPressed() ? limits.maxHeaderBytes() : MAX_SENT_AHEAD_BYTES;
+    boolean sentAhead = isBusyWithResponse() && decoder.undecodedBytes() > maxSentAhead;
     channel.config().setAutoRead(!paused && !sentAhead);
   }
 
   /** Returns whether bytes of a response wait for the caller to read. */
   boolean hasUnwrittenResponse() {
-    return lastWrite.isPresent() && !lastWrite.get().isDone();
+    return unwritten.exists();
   }
 
   /** Closes the connection if it is idle for too long or sends a request too slowly. */
@@ -133,7 +138,10 @@
     if (responsePending || paused || (closing && !hasUnwrittenResponse())) {
       return;
     }
-    recordWriteProgress(now);
+    if (unwritten.hasProgressed()) {
+      // A caller that reads a response slowly is not idle.
+      lastActivityAt = now;
+    }
     if (requestStarted && request == null) {
       if (now - requestStartedAt > limits.headerTimeoutMillis() * MICROS_PER_MILLI) {
         reject(LocalResponse.SLOW_HEAD, "the head took too long");
@@ -147,15 +155,6 @@
     }
   }
 
-  /** A caller that reads a response slowly is not idle. */
-  private void recordWriteProgress(long now) {
-    long bytes = hasUnwrittenResponse() ? channel.bytesBeforeWritable() : 0;
-    if (bytes != unwrittenBytes) {
-      unwrittenBytes = bytes;
-      lastActivityAt = now;
-    }
-  }
-
   /** Closes the connection if no request is on it. */
   void closeIfIdle() {
     if (!isBusy()) {
@@ -174,7 +173,7 @@
   }
 
   /** Records when bytes arrive, before they are decoded. */
-  private final class ActivityTracker extends ChannelInboundHandlerAdapter {
+  private final class ActivityTracker extends PausableReads {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       lastActivityAt = Clock.micros();
@@ -188,7 +187,8 @@
       ctx.fireChannelRead(message);
       account();
       if (!closing && !responsePending && !paused) {
-        paused = memory.mustWait(CallerConnection.this);
+        long incomplete = body.map(b -> (long) b.capacity()).orElse(held.headBytes());
+        paused = memory.mustWait(CallerConnection.this, incomplete);
       }
       updateReading();
     }
@@ -283,6 +283,7 @@
     held.setRequest(bytes.length);
     body = Optional.empty();
     requestStarted = false;
+    paused = false;
     memory.onRequestEnded(this);
     if (!memory.hasRoom()) {
       reject(LocalResponse.NOT_RUN, "memory is short");
@@ -336,12 +337,13 @@
     held.setResponse(message instanceof FullHttpResponse r ? r.content().readableBytes() : 0);
     closing |= closeAfterResponse;
     ChannelFuture write = channel.writeAndFlush(message);
-    lastWrite = Optional.of(write);
+    unwritten.begin(write);
     if (closeAfterResponse) {
       write.addListener(ChannelFutureListener.CLOSE);
     }
     onResponseEnded();
-    write.addListener(f -> channel.eventLoop().execute(this::continueDecoding));
+    write.addListener(
+        f -> channel.eventLoop().execute(f.isSuccess() ? this::continueDecoding : this::abort));
   }
 
   @Override
@@ -382,7 +384,7 @@
   /** Decodes what the caller has sent ahead, once the response before it is written. */
   private void continueDecoding() {
     held.setResponse(0);
-    if (closing || responsePending) {
+    if (closing || responsePending || !channel.isActive()) {
       return;
     }
     if (decoder.undecodedBytes() > 0) {
--- a/edge/src/main/java/org/kumquatplank/edge/CallerMemory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerMemory.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.kumquatplank.core.memory.ConnectionLimit;
 import org.kumquatplank.core.memory.MemoryBudget;
@@ -22,6 +23,9 @@
 
   private static final long LOG_INTERVAL_MICROS = 1_000_000;
 
+  /** Time for which one large request may keep others from being read. */
+  private static final long READER_MICROS = 2_000_000;
+
   private final MemoryBudget budget;
   private final int maxConnections;
   private final EdgeMetrics metrics;
@@ -29,6 +33,12 @@
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Deque<CallerConnection> waiting = new ArrayDeque<>();
   private CallerConnection reader;
+  private long readerUntil;
+
+  /**
+   * Whether the last search found no connection to close; until a request or sweep changes that.
+   */
+  private boolean nothingGivesWay;
 
   CallerMemory(EdgeSettings.Resources resources, EdgeMetrics metrics) {
     this.budget = MemoryBudget.of(Runtime.getRuntime().maxMemory(), resources.memoryBytes());
@@ -82,31 +92,44 @@
     return !budget.isExceeded();
   }
 
+  /** Closes the largest incomplete requests first, then the largest unread responses. */
   private void makeRoom() {
-    while (budget.isExceeded()) {
-      CallerConnection largest = null;
-      for (CallerConnection other : connections) {
-        if (other != reader
-            && other.canGiveWay()
-            && other.heldBytes() > 0
-            && (largest == null || other.heldBytes() > largest.heldBytes())) {
-          largest = other;
-        }
-      }
-      if (largest == null) {
-        return;
+    while (budget.isExceeded() && !nothingGivesWay) {
+      Optional<CallerConnection> largest =
+          largest(false).or(() -> largest(true)).filter(c -> c.heldBytes() > 0);
+      nothingGivesWay = largest.isEmpty();
+      largest.ifPresent(c -> giveWay(c, "memory"));
+    }
+  }
+
+  private Optional<CallerConnection> largest(boolean withResponse) {
+    CallerConnection largest = null;
+    for (CallerConnection other : connections) {
+      if (other != reader
+          && other.canGiveWay()
+          && other.hasUnwrittenResponse() == withResponse
+          && (largest == null || other.heldBytes() > largest.heldBytes())) {
+        largest = other;
       }
-      giveWay(largest, "memory");
     }
+    return Optional.ofNullable(largest).filter(c -> c.heldBytes() > 0);
+  }
+
+  boolean isPressed() {
+    return budget.isPressed();
   }
 
-  /** Returns whether a connection has to stop reading; it is told when it may go on. */
-  boolean mustWait(CallerConnection connection) {
-    if (connection == reader || !budget.mustWait(connection.heldBytes())) {
+  /**
+   * Returns whether a connection has to stop reading; it is told when it may go on.
+   *
+   * @param requestBytes memory of the incomplete request that it receives, bytes
+   */
+  boolean mustWait(CallerConnection connection, long requestBytes) {
+    if (connection == reader || !budget.mustWait(requestBytes)) {
       return false;
     }
     if (reader == null) {
-      reader = connection;
+      setReader(connection);
       return false;
     }
     waiting.addLast(connection);
@@ -119,12 +142,19 @@
     if (connection == reader) {
       reader = null;
     }
+    waiting.remove(connection);
+    nothingGivesWay = false;
     resume();
   }
 
+  private void setReader(CallerConnection connection) {
+    reader = connection;
+    readerUntil = Clock.micros() + READER_MICROS;
+  }
+
   private void resume() {
     if (reader == null && budget.isPressed() && !waiting.isEmpty()) {
-      reader = waiting.pollFirst();
+      setReader(waiting.pollFirst());
       reader.resumeReading();
     }
     while (!budget.isPressed() && !waiting.isEmpty()) {
@@ -133,6 +163,11 @@
   }
 
   void sweep(long now) {
+    nothingGivesWay = false;
+    if (reader != null && now > readerUntil && !waiting.isEmpty()) {
+      // It takes its turn again with its next read.
+      reader = null;
+    }
     for (CallerConnection connection : List.copyOf(connections)) {
       connection.sweep(now);
       if (budget.isPressed()
--- a/edge/src/main/java/org/kumquatplank/edge/HeldBytes.java
+++ b/edge/src/main/java/org/kumquatplank/edge/HeldBytes.java
@@ -33,6 +33,11 @@
     head += (long) OPEN_HEAD_BYTES_PER_BYTE * bytes;
   }
 
+  /** Returns the memory that the head of the request takes, bytes. */
+  long headBytes() {
+    return head;
+  }
+
   void setHead(HttpHeaders headers) {
     head = (long) HEADER_LINE_BYTES * headers.size();
   }
