--- a/core/src/main/java/org/kumquatplank/core/memory/MemoryBudget.java
+++ b/core/src/main/java/org/kumquatplank/core/memory/MemoryBudget.java
@@ -4,7 +4,7 @@
  * Account of the bytes that a process holds for its callers.
  *
  * <p>Answers callers that send many large requests at once and finish few of them: above half of
- * its limit, large requests are read one at a time; above the limit, connections give way. Not
+ * its limit, large requests are read one at a time; above the limit, connections are closed. Not
  * thread-safe.
  */
 public final class MemoryBudget {
@@ -56,12 +56,12 @@
     return Math.min(limitBytes, MAX_RESPONSE_BYTES);
   }
 
-  /** Returns whether large requests have to wait, and those without progress give way. */
+  /** Returns whether large requests have to wait, and those without progress are closed. */
   public boolean isPressed() {
     return heldBytes > limitBytes / 2;
   }
 
-  /** Returns whether connections have to give way at once. */
+  /** Returns whether connections have to be closed at once. */
   public boolean isExceeded() {
     return heldBytes > limitBytes;
   }
--- a/core/src/main/java/org/kumquatplank/core/memory/package-info.java
+++ b/core/src/main/java/org/kumquatplank/core/memory/package-info.java
@@ -1,2 +1,2 @@
-/** How many bytes and connections of callers a process holds, and what gives way above that. */
+/** How many bytes and connections of callers a process holds, and what is closed above that. */
 package org.kumquatplank.core.memory;
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -96,12 +96,12 @@
   }
 
   /** Returns whether no request on the connection is being served. */
-  boolean canGiveWay() {
+  boolean isEvictable() {
     return !responsePending && (!closing || hasUnwrittenResponse());
   }
 
   /** Closes the connection, which frees what it holds. */
-  void giveWay() {
+  void evict() {
     closing = true;
     held.release();
     body = Optional.empty();
@@ -257,7 +257,7 @@
         Optional.of(
             new RequestBody(HttpUtil.getContentLength(newRequest, -1L), limits.maxBodyBytes()));
     if (HttpUtil.is100ContinueExpected(newRequest)) {
-      channel.writeAndFlush(CallerResponses.goOn());
+      channel.writeAndFlush(CallerResponses.continueResponse());
     }
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/CallerMemory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerMemory.java
@@ -18,7 +18,7 @@
  * traffic thread.
  */
 final class CallerMemory {
-  /** Time without progress after which a request gives way while the account is pressed. */
+  /** Time without progress after which a request is closed while the account is pressed. */
   private static final long STALL_MICROS = 1_000_000;
 
   private static final long LOG_INTERVAL_MICROS = 1_000_000;
@@ -38,7 +38,7 @@
   /**
    * Whether the last search found no connection to close; until a request or sweep changes that.
    */
-  private boolean nothingGivesWay;
+  private boolean noneEvictable;
 
   CallerMemory(EdgeSettings.Resources resources, EdgeMetrics metrics) {
     this.budget = MemoryBudget.of(Runtime.getRuntime().maxMemory(), resources.memoryBytes());
@@ -54,21 +54,21 @@
     return budget.responseLimitBytes();
   }
 
-  /** Adds a connection; the one that has been idle longest gives way if there are too many. */
+  /** Adds a connection; the one that has been idle longest is closed if there are too many. */
   void open(CallerConnection connection) {
     if (connections.size() >= maxConnections) {
       CallerConnection longestIdle = null;
       for (CallerConnection other : connections) {
-        if (other.canGiveWay()
+        if (other.isEvictable()
             && (longestIdle == null || other.lastActivityAt() < longestIdle.lastActivityAt())) {
           longestIdle = other;
         }
       }
       if (longestIdle == null) {
-        giveWay(connection, "descriptors");
+        evict(connection, "descriptors");
         return;
       }
-      giveWay(longestIdle, "descriptors");
+      evict(longestIdle, "descriptors");
     }
     connections.add(connection);
   }
@@ -94,11 +94,11 @@
 
   /** Closes the largest incomplete requests first, then the largest unread responses. */
   private void makeRoom() {
-    while (budget.isExceeded() && !nothingGivesWay) {
+    while (budget.isExceeded() && !noneEvictable) {
       Optional<CallerConnection> largest =
           largest(false).or(() -> largest(true)).filter(c -> c.heldBytes() > 0);
-      nothingGivesWay = largest.isEmpty();
-      largest.ifPresent(c -> giveWay(c, "memory"));
+      noneEvictable = largest.isEmpty();
+      largest.ifPresent(c -> evict(c, "memory"));
     }
   }
 
@@ -106,7 +106,7 @@
     CallerConnection largest = null;
     for (CallerConnection other : connections) {
       if (other != reader
-          && other.canGiveWay()
+          && other.isEvictable()
           && other.hasUnwrittenResponse() == withResponse
           && (largest == null || other.heldBytes() > largest.heldBytes())) {
         largest = other;
@@ -143,7 +143,7 @@
       reader = null;
     }
     waiting.remove(connection);
-    nothingGivesWay = false;
+    noneEvictable = false;
     resume();
   }
 
@@ -163,7 +163,7 @@
   }
 
   void sweep(long now) {
-    nothingGivesWay = false;
+    noneEvictable = false;
     if (reader != null && now > readerUntil && !waiting.isEmpty()) {
       // It takes its turn again with its next read.
       reader = null;
@@ -171,17 +171,17 @@
     for (CallerConnection connection : List.copyOf(connections)) {
       connection.sweep(now);
       if (budget.isPressed()
-          && connection.canGiveWay()
+          && connection.isEvictable()
           && connection.heldBytes() > 0
           && !connection.isPaused()
           && now - connection.lastActivityAt() > STALL_MICROS) {
-        giveWay(connection, "stalled");
+        evict(connection, "stalled");
       }
     }
     resume();
   }
 
-  private void giveWay(CallerConnection connection, String reason) {
+  private void evict(CallerConnection connection, String reason) {
     metrics.count("callers_closed_" + reason);
     log.pass(Clock.micros())
         .ifPresent(
@@ -193,6 +193,6 @@
                     .addKeyValue("omitted", omitted)
                     .log());
     connections.remove(connection);
-    connection.giveWay();
+    connection.evict();
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/CallerResponses.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerResponses.java
@@ -18,7 +18,7 @@
   private CallerResponses() {}
 
   /** Returns the response to a caller that waits before it sends its body. */
-  static FullHttpResponse goOn() {
+  static FullHttpResponse continueResponse() {
     return new DefaultFullHttpResponse(
         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
   }
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -213,7 +213,7 @@
   }
 
   private TrafficReport report() {
-    gate.beat(Clock.micros());
+    gate.recordTick(Clock.micros());
     return new TrafficReport(
         dispatcher.registry().ownLoads(Clock.micros()),
         dispatcher.registry().leaving(),
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -335,7 +335,7 @@
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.tick(now);
     }
-    gate.beat(now);
+    gate.recordTick(now);
   }
 
   /** Returns the silence of a backend server after which a request is retried, microseconds. */
--- a/edge/src/main/java/org/kumquatplank/edge/SendGate.java
+++ b/edge/src/main/java/org/kumquatplank/edge/SendGate.java
@@ -11,11 +11,11 @@
  * all connections have been read once more. Confined to the traffic thread.
  */
 final class SendGate {
-  /** Time without a beat after which the thread is behind; beats come every 250 ms or faster. */
-  private static final long MAX_BEAT_GAP_MICROS = 350_000;
+  /** Time without a periodic task after which the thread is behind; one runs every 250 ms. */
+  private static final long MAX_TICK_GAP_MICROS = 350_000;
 
   private final EventLoop loop;
-  private long lastBeatAt = Clock.micros();
+  private long lastTickAt = Clock.micros();
   private long holdsUntil;
 
   SendGate(EventLoop loop) {
@@ -28,17 +28,17 @@
    * <p>After a gap, callers' connections are accepted only gradually, so work is held for as long
    * as the gap lasted.
    */
-  void beat(long now) {
-    long gap = now - lastBeatAt;
-    if (gap > MAX_BEAT_GAP_MICROS) {
+  void recordTick(long now) {
+    long gap = now - lastTickAt;
+    if (gap > MAX_TICK_GAP_MICROS) {
       holdsUntil = now + gap;
     }
-    lastBeatAt = now;
+    lastTickAt = now;
   }
 
   /** Runs work now, or after all connections have been read if the thread is behind. */
   void run(long now, Runnable work) {
-    if (now >= holdsUntil && now - lastBeatAt <= MAX_BEAT_GAP_MICROS) {
+    if (now >= holdsUntil && now - lastTickAt <= MAX_TICK_GAP_MICROS) {
       work.run();
     } else {
       // A scheduled task that schedules another one has all connections read between the two.
