Bound the memory of request bodies at the daemon

Cause: 2,000 connections with bodies of 1 MB each, complete or a byte short, had no bound in total; a heap of 256 MB holds fewer. Change: BodyBudget counts the bodies of all requests and closes the connection with the largest incomplete one. No crowd was sent to the daemon's own process.

--- a/http/src/main/java/org/kumquatplank/http/HandlerAdapter.java
+++ b/http/src/main/java/org/kumquatplank/http/HandlerAdapter.java
@@ -1,5 +1,6 @@
 package org.kumquatplank.http;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -24,15 +25,19 @@
 /** Adapts a {@link Handler} to the request handler interface of the HTTP library. */
 final class HandlerAdapter implements HttpServerRequestHandler {
   private static final int UNKNOWN_LENGTH = -1;
+  private static final int READ_BYTES = 8_192;
 
   private final Handler handler;
   private final ServerLimits limits;
   private final BooleanSupplier keepAlive;
+  private final BodyBudget budget;
 
-  HandlerAdapter(Handler handler, ServerLimits limits, BooleanSupplier keepAlive) {
+  HandlerAdapter(
+      Handler handler, ServerLimits limits, BodyBudget budget, BooleanSupplier keepAlive) {
     this.handler = handler;
     this.limits = limits;
     this.keepAlive = keepAlive;
+    this.budget = budget;
   }
 
   @Override
@@ -42,7 +47,14 @@
         (HttpListener.ServerConnection)
             context.getAttribute(HttpListener.ServerConnection.ATTRIBUTE);
     connection.requestStarted();
-    Response reply = replyTo(message);
+    try (BodyBudget.Body body = budget.open(connection::close)) {
+      respond(replyTo(message, body), trigger, connection);
+    }
+  }
+
+  private void respond(
+      Response reply, ResponseTrigger trigger, HttpListener.ServerConnection connection)
+      throws HttpException, IOException {
     ClassicHttpResponse response = new BasicClassicHttpResponse(reply.status());
     for (Headers.Field field : reply.headers().fields()) {
       response.addHeader(field.name(), field.value());
@@ -56,9 +68,9 @@
     connection.afterWrite();
   }
 
-  private Response replyTo(ClassicHttpRequest message) throws IOException {
+  private Response replyTo(ClassicHttpRequest message, BodyBudget.Body body) throws IOException {
     try {
-      return handler.handle(toRequest(message));
+      return handler.handle(toRequest(message, body));
     } catch (RouterException e) {
       return ErrorResponses.of(e);
     } catch (RuntimeException e) {
@@ -68,7 +80,7 @@
     }
   }
 
-  private Request toRequest(ClassicHttpRequest message) throws IOException {
+  private Request toRequest(ClassicHttpRequest message, BodyBudget.Body body) throws IOException {
     List<Headers.Field> fields = new ArrayList<>();
     for (Header header : message.getHeaders()) {
       fields.add(new Headers.Field(header.getName(), header.getValue()));
@@ -79,20 +91,26 @@
         head.path(),
         head.query(),
         new Headers(fields),
-        readBody(message.getEntity()));
+        readBody(message.getEntity(), body));
   }
 
-  private String readBody(HttpEntity entity) throws IOException {
+  private String readBody(HttpEntity entity, BodyBudget.Body body) throws IOException {
     if (entity == null) {
       return "";
     }
     try (InputStream in = entity.getContent()) {
-      byte[] bytes = in.readNBytes(limits.maxBodyBytes() + 1);
-      if (bytes.length > limits.maxBodyBytes()) {
-        throw RouterException.notRun(
-            ErrorCode.BODY_TOO_LARGE, "the body exceeds " + limits.maxBodyBytes() + " bytes");
+      ByteArrayOutputStream read = new ByteArrayOutputStream();
+      byte[] chunk = new byte[READ_BYTES];
+      for (int count = in.read(chunk); count >= 0; count = in.read(chunk)) {
+        if (read.size() + count > limits.maxBodyBytes()) {
+          throw RouterException.notRun(
+              ErrorCode.BODY_TOO_LARGE, "the body exceeds " + limits.maxBodyBytes() + " bytes");
+        }
+        body.add(count);
+        read.write(chunk, 0, count);
       }
-      return new String(bytes, StandardCharsets.UTF_8);
+      body.complete();
+      return read.toString(StandardCharsets.UTF_8);
     }
   }
 
--- a/http/src/main/java/org/kumquatplank/http/HttpListener.java
+++ b/http/src/main/java/org/kumquatplank/http/HttpListener.java
@@ -39,6 +39,7 @@
 
   private final ServerSocket socket;
   private final ServerLimits limits;
+  private final BodyBudget budget;
   private final HttpService service;
   private final DefaultBHttpServerConnectionFactory connections;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -49,6 +50,7 @@
   private HttpListener(ServerSocket socket, ServerLimits limits, Handler handler) {
     this.socket = socket;
     this.limits = limits;
+    this.budget = BodyBudget.of(limits.maxHeldBodyBytes());
     Http1Config config =
         Http1Config.custom()
             .setMaxLineLength(limits.maxLineBytes())
@@ -58,7 +60,7 @@
     this.service =
         new JsonErrorHttpService(
             HttpProcessors.server(SERVER_NAME),
-            new HandlerAdapter(handler, limits, this::keepAlive));
+            new HandlerAdapter(handler, limits, budget, this::keepAlive));
   }
 
   /**
@@ -92,6 +94,11 @@
     return (int) openConnections.stream().filter(ServerConnection::busy).count();
   }
 
+  /** Returns the memory that the bodies of requests in progress take, bytes. */
+  public long heldBodyBytes() {
+    return budget.heldBytes();
+  }
+
   /** Stops accepting connections and closes idle ones; requests in progress continue. */
   public void stopAccepting() {
     accepting = false;
--- a/http/src/test/java/org/kumquatplank/http/PooledHttpClientTest.java
+++ b/http/src/test/java/org/kumquatplank/http/PooledHttpClientTest.java
@@ -71,7 +71,7 @@
   @Example
   void testOversizedBodyIsRejectedBeforeTheHandler() {
     ServerLimits small =
-        new ServerLimits(10, 8, 1_000, 20, Duration.ofSeconds(5), Duration.ofSeconds(5));
+        new ServerLimits(10, 8, 1_000, 1_000, 20, Duration.ofSeconds(5), Duration.ofSeconds(5));
     PooledHttpClient.FullResponse reply =
         exchange(
             request -> {
--- a/testkit/src/main/java/org/kumquatplank/testkit/PlatformServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/PlatformServer.java
@@ -52,6 +52,7 @@
     return new ServerLimits(
         defaults.maxConnections(),
         8 << 20,
+        defaults.maxHeldBodyBytes(),
         defaults.maxLineBytes(),
         defaults.maxHeaderFields(),
         defaults.readTimeout(),
