Learn the pace of backend servers only where the setting asks for it

Change: KUMQUATPLANK_LEARN_PACE, off by default. Off, servers count as usual, load reports hold as they are, and digests carry nothing.

--- a/core/src/main/java/org/kumquatplank/core/pace/ServerPace.java
+++ b/core/src/main/java/org/kumquatplank/core/pace/ServerPace.java
@@ -42,6 +42,7 @@
   private PeerPaces peers;
   private boolean hasEvidence;
   private long recordedAt = Long.MIN_VALUE / 2;
+  private boolean hasReports;
   private double usualReported;
   private double usualReportedFactor = 1;
   private long refreshedAt = Long.MIN_VALUE;
@@ -58,16 +59,18 @@
   }
 
   /**
-   * Returns by how much the server is slower at this moment than it usually is, at least 1.
+   * Returns by how much the server is slower at this moment than it usually is, at least 1 once its
+   * usual pace is known.
    *
    * @param reportedSlowdown slowdown that the server reports, 1 being normal
    */
   public double momentarySlowdown(double reportedSlowdown) {
-    return Math.max(1, reportedSlowdown / usualReportedFactor);
+    return hasReports ? Math.max(1, reportedSlowdown / usualReportedFactor) : reportedSlowdown;
   }
 
   /** Records a slowdown that the server reported, and returns the logarithm of its excess. */
   double recordReported(double reportedSlowdown) {
+    hasReports = true;
     double reported = Math.log(Math.max(0.01, reportedSlowdown));
     double excess = reported - usualReported;
     usualReported += Math.clamp(excess, -REPORTED_STEP, REPORTED_STEP);
--- a/core/src/test/java/org/kumquatplank/core/pace/ServerPaceTest.java
+++ b/core/src/test/java/org/kumquatplank/core/pace/ServerPaceTest.java
@@ -170,4 +170,22 @@
     }
     assertThat(pace.slowdown(() -> 3, SLOTS, 13 * SECOND)).isEqualTo(1);
   }
+
+  @Example
+  void testReportedSlowdownHoldsAsItIsUntilPaceIsLearned() {
+    ServerPace pace = ServerPace.unknown();
+    assertThat(pace.momentarySlowdown(0.8)).isEqualTo(0.8);
+    assertThat(pace.momentarySlowdown(2.5)).isEqualTo(2.5);
+  }
+
+  /** A server that is no longer slow must not look faster than the others. */
+  @Example
+  void testServerThatHasReportedSlownessDoesNotLookFastAfterwards() {
+    ServerPace pace = ServerPace.unknown();
+    for (int i = 0; i < 40; i++) {
+      pace.recordReported(5);
+    }
+    assertThat(pace.momentarySlowdown(1)).isEqualTo(1);
+    assertThat(pace.recordReported(1)).isZero();
+  }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendChoice.java
@@ -17,6 +17,7 @@
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.placement.Placement;
 import org.kumquatplank.core.placement.PlacementRules;
+import org.kumquatplank.platform.wire.BackendResponseHead;
 
 /**
  * The choice of a backend server for an exchange, under the rules of the roll-outs and of the
@@ -172,10 +173,12 @@
   }
 
   /** Returns the larger model to use instead of forwarding a response, if any. */
-  Optional<String> largerModel(Exchange exchange, OptionalInt confidence, long now) {
+  Optional<String> largerModel(Exchange exchange, BackendResponseHead response) {
+    OptionalInt confidence = response.confidence();
     if (!exchange.routerSelectsModel() || confidence.isEmpty() || exchange.model().isEmpty()) {
       return Optional.empty();
     }
+    long now = Clock.micros();
     return modelChooser.escalationModel(
         exchange.request(),
         exchange.model().get(),
--- a/edge/src/main/java/org/kumquatplank/edge/CallOutcomes.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallOutcomes.java
@@ -15,12 +15,14 @@
 final class CallOutcomes {
   private final BackendPool pool;
   private final BackendSelector selector;
+  private final PaceMonitor paces;
   private final EdgeMetrics metrics;
   private final VersionCounts versionCounts = new VersionCounts();
 
-  CallOutcomes(BackendPool pool, BackendSelector selector, EdgeMetrics metrics) {
+  CallOutcomes(BackendPool pool, BackendSelector selector, PaceMonitor paces, EdgeMetrics metrics) {
     this.pool = pool;
     this.selector = selector;
+    this.paces = paces;
     this.metrics = metrics;
   }
 
@@ -65,7 +67,7 @@
     boolean cold =
         response.coldRemainingMillis().orElse(0) > 0
             || call.selection().backend().server().coldRemainingMillis() > 0;
-    if (!cold) {
+    if (paces.isOn() && !cold) {
       long now = Clock.micros();
       long micros = now - call.sentAt();
       selector.recordPace(call.selection(), exchange.request(), exchange.model(), micros, now);
--- a/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/DataPlane.java
@@ -58,12 +58,12 @@
   private Optional<DrainSchedule> drain = Optional.empty();
   private boolean requestsEnded;
 
-  DataPlane(EdgeSettings settings, EventLoop loop) {
+  DataPlane(EdgeSettings settings, EdgeOptions options, EventLoop loop) {
     this.settings = settings;
     this.loop = loop;
     this.gate = new SendGate(loop);
     this.pool = new BackendPool(loop, gate);
-    this.dispatcher = new Dispatcher(settings, pool, gate, metrics);
+    this.dispatcher = new Dispatcher(settings, options, pool, gate, metrics);
     this.admission = new AdmissionController(dispatcher, metrics, settings.resources());
   }
 
--- a/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.kumquatplank.core.catalog.BackendServer;
@@ -54,7 +53,12 @@
   private boolean ticking;
   private boolean startsQueued;
 
-  Dispatcher(EdgeSettings settings, BackendPool pool, SendGate gate, EdgeMetrics metrics) {
+  Dispatcher(
+      EdgeSettings settings,
+      EdgeOptions options,
+      BackendPool pool,
+      SendGate gate,
+      EdgeMetrics metrics) {
     this.pool = pool;
     this.gate = gate;
     this.metrics = metrics;
@@ -67,10 +71,10 @@
             new ColdStarts(settings, catalog, metrics),
             catalog,
             PlacementRules.of(settings.regions()));
-    this.paces = new PaceMonitor(registry, metrics);
+    this.paces = new PaceMonitor(registry, metrics, options.learnsPace());
     this.crashDetector = new CrashDetector(pool, crashTracker, metrics, choice::isEvacuated);
     this.retryLimits = new RetryLimits(settings.limits(), metrics);
-    this.outcomes = new CallOutcomes(pool, choice.selector(), metrics);
+    this.outcomes = new CallOutcomes(pool, choice.selector(), paces, metrics);
   }
 
   void setServers(Collection<BackendServer> servers) {
@@ -296,11 +300,6 @@
     return selection.isPresent();
   }
 
-  /** Returns the larger model to use instead of forwarding this response, if any. */
-  Optional<String> largerModel(Exchange exchange, OptionalInt confidence) {
-    return choice.largerModel(exchange, confidence, Clock.micros());
-  }
-
   private void dispatchQueued() {
     if (!startsQueued) {
       startsQueued = true;
--- a/edge/src/main/java/org/kumquatplank/edge/EdgeMain.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EdgeMain.java
@@ -22,8 +22,10 @@
   public static void main(String[] arguments) {
     HangUpSignal hangUpSignal = HangUpSignal.register();
     EdgeSettings settings;
+    EdgeOptions options;
     try {
       settings = readSettings();
+      options = EdgeOptions.of(System.getenv());
     } catch (IOException | WireException e) {
       System.err.println("kumquatplank: " + e.getMessage());
       System.exit(EXIT_BAD_SETTINGS);
@@ -32,7 +34,7 @@
     long startedMillis = System.currentTimeMillis();
     EventLoop trafficLoop = newEventLoop("traffic");
     EventLoop controlLoop = newEventLoop("control");
-    DataPlane dataPlane = new DataPlane(settings, trafficLoop);
+    DataPlane dataPlane = new DataPlane(settings, options, trafficLoop);
     ControlPlane control = new ControlPlane(settings, startedMillis, controlLoop, dataPlane);
     dataPlane.start(control::onReport);
     control.start();
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -190,7 +190,7 @@
     if (good && request.route().stream()) {
       dispatcher.outcomes().onFirstResponse(this, from);
       Optional<String> larger =
-          streaming ? Optional.empty() : dispatcher.largerModel(this, response.confidence());
+          streaming ? Optional.empty() : dispatcher.choice().largerModel(this, response);
       if (larger.isPresent()
           && sendCount < request.route().maxAttempts()
           && Clock.micros() < request.deadlineMicros()
--- a/edge/src/main/java/org/kumquatplank/edge/PaceMonitor.java
+++ b/edge/src/main/java/org/kumquatplank/edge/PaceMonitor.java
@@ -19,20 +19,37 @@
 
   private final BackendRegistry registry;
   private final EdgeMetrics metrics;
+  private final boolean on;
   private final Set<BackendState> limited = new HashSet<>();
 
-  PaceMonitor(BackendRegistry registry, EdgeMetrics metrics) {
+  /**
+   * Creates a monitor.
+   *
+   * @param on whether the pace is learned; otherwise all servers count as usual
+   */
+  PaceMonitor(BackendRegistry registry, EdgeMetrics metrics, boolean on) {
     this.registry = registry;
     this.metrics = metrics;
+    this.on = on;
+  }
+
+  /** Returns whether the pace of backend servers is learned. */
+  boolean isOn() {
+    return on;
   }
 
   /** Takes over what a peer has observed. */
   void add(String peer, List<PaceReport> reports) {
-    registry.addPaces(peer, reports, Clock.micros());
+    if (on) {
+      registry.addPaces(peer, reports, Clock.micros());
+    }
   }
 
   /** Updates metrics and logs, and returns what this instance itself has observed. */
   List<PaceReport> update(long now) {
+    if (!on) {
+      return List.of();
+    }
     limited.removeIf(BackendState::isClosed);
     long slow = 0;
     long slowest = 100;
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -64,7 +64,7 @@
             store.address(),
             new EdgeSettings.Limits(0.9, 50, 10_000, graceMillis, 5, 3_000, 1, 0),
             EdgeSettings.Resources.UNLIMITED);
-    dataPlane = new DataPlane(settings, trafficLoop);
+    dataPlane = new DataPlane(settings, EdgeOptions.DEFAULT, trafficLoop);
   }
 
   private static EventLoop loop() {
--- a/edge/src/test/java/org/kumquatplank/edge/EvacuationDuringConnectTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EvacuationDuringConnectTest.java
@@ -141,7 +141,8 @@
               SendGate gate = new SendGate(loop);
               EdgeMetrics metrics = new EdgeMetrics();
               Dispatcher dispatcher =
-                  new Dispatcher(settings(), new BackendPool(loop, gate), gate, metrics);
+                  new Dispatcher(
+                      settings(), EdgeOptions.DEFAULT, new BackendPool(loop, gate), gate, metrics);
               dispatcher.setServers(servers);
               long now = Clock.micros();
               DispatchRequest request =
--- a/edge/src/test/java/org/kumquatplank/edge/PaceMonitorTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/PaceMonitorTest.java
@@ -11,7 +11,21 @@
 class PaceMonitorTest {
   private final BackendRegistry registry = BackendRegistry.create();
   private final EdgeMetrics metrics = new EdgeMetrics();
-  private final PaceMonitor monitor = new PaceMonitor(registry, metrics);
+  private final PaceMonitor monitor = new PaceMonitor(registry, metrics, true);
+
+  /** Without the setting, servers count as usual whatever peers report. */
+  @Example
+  void testIsOffWhereTheSettingDoesNotAskForIt() {
+    registry.setServers(
+        List.of(new BackendServer("s1", 1, "pool", "127.0.0.1", 1, "a", "v1", 16, 0, false)));
+    PaceMonitor off = new PaceMonitor(registry, metrics, EdgeOptions.DEFAULT.learnsPace());
+    for (int peer = 0; peer < 6; peer++) {
+      off.add("i" + peer, List.of(new PaceReport("s1", 1, 200, 6, 6)));
+    }
+    assertThat(off.update(Clock.micros())).isEmpty();
+    assertThat(registry.forService("pool").get(0).slowdownFactor(Clock.micros())).isEqualTo(1);
+    assertThat(metrics.text()).doesNotContain("kumquatplank_backends_slow");
+  }
 
   @Example
   void testMetricsCountServersThatDiffer() {
