--- a/review/rig/LogStore.java
+++ b/review/rig/LogStore.java
@@ -23,7 +23,7 @@
 public final class LogStore implements AutoCloseable {
   private static final int PAGE = 500;
 
-  private final ServerSocket listener;
+  private volatile ServerSocket listener;
   private final Map<String, List<byte[]>> topics = new HashMap<>();
   private final List<Socket> sockets = new ArrayList<>();
 
@@ -34,10 +34,18 @@
   public static LogStore open(String host) throws IOException {
     ServerSocket listener = new ServerSocket(0, 128, InetAddress.getByName(host));
     LogStore store = new LogStore(listener);
-    Thread.ofVirtual().start(store::acceptAll);
+    Thread.ofVirtual().start(() -> store.acceptAll(listener));
     return store;
   }
 
+  /** Leaves its address for another one, with all records; the old one refuses connections. */
+  public void listenAt(String host) throws IOException {
+    ServerSocket next = new ServerSocket(0, 128, InetAddress.getByName(host));
+    close();
+    listener = next;
+    Thread.ofVirtual().start(() -> acceptAll(next));
+  }
+
   public String address() {
     InetSocketAddress address = (InetSocketAddress) listener.getLocalSocketAddress();
     return address.getAddress().getHostAddress() + ":" + address.getPort();
@@ -62,10 +70,10 @@
     return topics.computeIfAbsent(name, n -> new ArrayList<>());
   }
 
-  private void acceptAll() {
+  private void acceptAll(ServerSocket from) {
     try {
       while (true) {
-        Socket socket = listener.accept();
+        Socket socket = from.accept();
         synchronized (sockets) {
           sockets.add(socket);
         }
