--- a/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendCall.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.LoadReport;
-import org.kumquatplank.core.dispatch.SendState;
+import org.kumquatplank.core.dispatch.ResponseKind;
 import org.kumquatplank.core.dispatch.SendTracker;
 import org.kumquatplank.core.rollout.UsualPace;
 import org.kumquatplank.platform.wire.BackendResponseHead;
@@ -20,7 +20,7 @@
 
   private final Exchange exchange;
   private final BackendSelector.Selection selection;
-  private final SendTracker sendTracker;
+  private final SendTracker<?> sendTracker;
   private final int sendNumber;
   private final UsualPace.Work work;
   private final boolean noPrefillAhead;
@@ -34,7 +34,10 @@
   private boolean ended;
 
   private BackendCall(
-      Exchange exchange, BackendSelector.Selection selection, SendTracker sendTracker, long now) {
+      Exchange exchange,
+      BackendSelector.Selection selection,
+      SendTracker<?> sendTracker,
+      long now) {
     this.exchange = exchange;
     this.selection = selection;
     this.sendTracker = sendTracker;
@@ -47,7 +50,10 @@
   }
 
   static BackendCall open(
-      Exchange exchange, BackendSelector.Selection selection, SendTracker sendTracker, long now) {
+      Exchange exchange,
+      BackendSelector.Selection selection,
+      SendTracker<?> sendTracker,
+      long now) {
     return new BackendCall(exchange, selection, sendTracker, now);
   }
 
@@ -100,7 +106,7 @@
     connection = newConnection;
     sentAt = now;
     lastProgressAt = sentAt;
-    sendTracker.setState(sendNumber, SendState.MAY_HAVE_RUN);
+    sendTracker.recordSent(sendNumber);
     connection.send(this, exchange.backendRequest(this));
     return true;
   }
@@ -137,10 +143,10 @@
     if (!isFromOtherServer(newHead)) {
       exchange.dispatcher().choice().coldStarts().onResponse(selection.backend(), newHead);
     }
-    sendTracker.setState(sendNumber, newHead.notExecuted() ? SendState.NOT_RUN : SendState.RAN);
+    sendTracker.recordResponse(sendNumber, newHead.kind());
     if (newHead.backOffMillis().isPresent()) {
       exchange.dispatcher().onBackOff(selection.backend(), newHead.backOffMillis().getAsLong());
-    } else if (!newHead.notExecuted()) {
+    } else if (newHead.kind() != ResponseKind.REFUSAL) {
       selection.backend().recordAccepted(lastProgressAt);
     }
     if (newHead.leaving() && !isFromOtherServer(newHead)) {
--- a/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/CallerConnection.java
@@ -306,15 +306,14 @@
   }
 
   @Override
-  public void respond(FullHttpResponse response) {
-    setConnectionHeader(response.headers());
-    writeLast(response);
+  public void respond(CallerResponse response) {
+    respond(response.message());
   }
 
-  @Override
-  public void respond(int status, HttpHeaders headers, ByteBuf content) {
-    setConnectionHeader(headers);
-    writeLast(CallerResponses.whole(status, headers, content));
+  /** Sends a response to a request for which there is no exchange. */
+  void respond(FullHttpResponse response) {
+    setConnectionHeader(response.headers());
+    writeLast(response);
   }
 
   @Override
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -3,15 +3,14 @@
 import io.netty.buffer.ByteBuf;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import org.kumquatplank.core.catalog.RetrySafety;
 import org.kumquatplank.core.catalog.ServiceInfo;
 import org.kumquatplank.core.dispatch.BackendSelector;
 import org.kumquatplank.core.dispatch.BackendState;
 import org.kumquatplank.core.dispatch.DispatchRequest;
+import org.kumquatplank.core.dispatch.FinalResponse;
 import org.kumquatplank.core.dispatch.SendTracker;
-import org.kumquatplank.edge.HeldResponses.ErrorResponse;
 import org.kumquatplank.platform.wire.BackendResponseHead;
 
 /**
@@ -31,9 +30,9 @@
   private final DispatchRequest request;
   private final ServiceInfo service;
   private final BufferLimit bufferLimit;
-  private final SendTracker sendTracker = SendTracker.create();
+  private final SendTracker<BackendResponse> sendTracker = SendTracker.create();
   private final Set<BackendState> excludedBackends = new HashSet<>();
-  private final HeldResponses held = new HeldResponses();
+  private final HeldResponses held = new HeldResponses(sendTracker);
   private final StreamTimes times;
   private Optional<String> model = Optional.empty();
   private BackendCall call;
@@ -181,13 +180,16 @@
   }
 
   void onHead(BackendCall from, BackendResponseHead response) {
-    boolean good = response.isSuccess();
-    if (good && (!response.hasSeal() || response.hasContentEncoding())) {
+    if (!response.isSuccess()) {
+      return;
+    }
+    Optional<String> fault = BackendResponse.faultOfSuccess(response);
+    if (fault.isPresent()) {
       from.cancel();
-      onBrokenResponse(from, "a success that no backend server has made");
+      onBrokenResponse(from, fault.get());
       return;
     }
-    if (good && request.route().stream()) {
+    if (request.route().stream()) {
       dispatcher.outcomes().onFirstResponse(this, from);
       Optional<String> larger =
           streaming ? Optional.empty() : dispatcher.choice().largerModel(this, response);
@@ -275,17 +277,21 @@
     if (done) {
       return;
     }
-    if (response.notExecuted()) {
-      onNotRun(from, response);
-    } else if (!response.isSuccess()) {
-      onErrorResponse(from, response);
-    } else if (request.route().stream()) {
+    switch (response.kind()) {
+      case REFUSAL -> onNotRun(from, response);
+      case FAILURE, FALSE_DENIAL -> onErrorResponse(from, response);
+      case SUCCESS -> onSuccess(from, response);
+    }
+  }
+
+  private void onSuccess(BackendCall from, BackendResponseHead response) {
+    if (request.route().stream()) {
       onStreamEnd(from, response);
-    } else {
-      dispatcher.outcomes().onSuccess(this, from, 1);
-      finish("answered");
-      writer.respond(response.status(), response.forwardedHeaders(), held.buffer().take());
+      return;
     }
+    dispatcher.outcomes().onSuccess(this, from, 1);
+    BackendResponse whole = new BackendResponse(response, held.buffer().take());
+    respond(sendTracker.succeed(response.kind(), whole), "");
   }
 
   private void onStreamEnd(BackendCall from, BackendResponseHead response) {
@@ -302,14 +308,14 @@
   private void onNotRun(BackendCall from, BackendResponseHead response) {
     dispatcher.outcomes().onNotRun(this, from, response);
     if (response.misdirected() && from.selection().backend().isServer(response.backendId())) {
-      held.keepRefusal(new ErrorResponse(response, held.buffer().take()));
+      sendTracker.keep(response.kind(), new BackendResponse(response, held.buffer().take()));
     }
     retryOrEnd(from, false, "refused with " + response.status(), "backend servers refused it");
   }
 
   private void onErrorResponse(BackendCall from, BackendResponseHead response) {
     dispatcher.outcomes().onFailure(this, from, "status " + response.status());
-    held.keepError(new ErrorResponse(response, held.buffer().take()));
+    sendTracker.keep(response.kind(), new BackendResponse(response, held.buffer().take()));
     retryOrEnd(from, true, "failed with " + response.status(), "the backend server failed");
   }
 
@@ -352,28 +358,19 @@
       return;
     }
     if (streaming) {
-      abort(reason);
-      return;
-    }
-    Optional<ErrorResponse> kept = held.finalResponse(sendTracker.mayHaveRun());
-    if (kept.isPresent()) {
-      BackendResponseHead head = kept.get().head();
-      finish("failed_at_backend");
-      writer.respond(head.status(), head.forwardedHeaders(), kept.get().body());
+      finish("aborted: " + reason);
+      writer.abort();
       return;
     }
-    SendTracker.FailureOutcome verdict = sendTracker.failureOutcome(timedOut);
-    OptionalDouble retryAfter =
-        verdict == SendTracker.FailureOutcome.NOT_RUN
-            ? OptionalDouble.of(dispatcher.retryAfterSeconds(this))
-            : OptionalDouble.empty();
-    finish(verdict + ": " + reason);
-    writer.respond(forwarded.errorResponse(verdict, retryAfter, reason));
-  }
-
-  private void abort(String reason) {
-    finish("aborted: " + reason);
-    writer.abort();
+    respond(sendTracker.fail(timedOut), reason);
+  }
+
+  /** Ends the exchange with a response; the reason is for one that this router makes. */
+  private void respond(FinalResponse<BackendResponse> end, String reason) {
+    CallerResponse response =
+        CallerResponse.of(end, forwarded.head(), () -> dispatcher.retryAfterSeconds(this), reason);
+    finish(response.outcome());
+    writer.respond(response);
   }
 
   /** Cancels the exchange after the caller has closed its connection. */
--- a/edge/src/main/java/org/kumquatplank/edge/ForwardedRequest.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ForwardedRequest.java
@@ -1,13 +1,8 @@
 package org.kumquatplank.edge;
 
-import io.netty.handler.codec.http.FullHttpResponse;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.kumquatplank.core.dispatch.DispatchRequest;
-import org.kumquatplank.core.dispatch.SendTracker;
 import org.kumquatplank.platform.wire.BackendProtocol;
-import org.kumquatplank.platform.wire.CallerProtocol;
-import org.kumquatplank.platform.wire.CallerProtocol.LocalResponse;
 import org.kumquatplank.platform.wire.CallerRequestHead;
 
 /** A request of a caller as it is sent on to backend servers. Immutable. */
@@ -53,11 +48,4 @@
             dispatch.priority(),
             lastSentEvent.or(head::lastEventId)));
   }
-
-  /** Returns the response of this router to a request that no backend server has answered. */
-  FullHttpResponse errorResponse(
-      SendTracker.FailureOutcome outcome, OptionalDouble retryAfter, String reason) {
-    return CallerProtocol.localResponse(
-        LocalResponse.of(outcome), head.attemptId(), retryAfter, reason);
-  }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/ResponseWriter.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ResponseWriter.java
@@ -1,16 +1,12 @@
 package org.kumquatplank.edge;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** Writes the response of one exchange to its caller. */
 interface ResponseWriter {
-  /** Sends a complete response that this router made. */
-  void respond(FullHttpResponse response);
-
-  /** Sends a complete response of a backend server. */
-  void respond(int status, HttpHeaders headers, ByteBuf body);
+  /** Sends a complete response. */
+  void respond(CallerResponse response);
 
   /** Sends the head of a stream. */
   void beginStream(int status, HttpHeaders headers);
--- a/edge/src/test/java/org/kumquatplank/edge/EvacuationDuringConnectTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EvacuationDuringConnectTest.java
@@ -69,13 +69,10 @@
   /** Completes the response with its status and body. */
   private final class Writer implements ResponseWriter {
     @Override
-    public void respond(FullHttpResponse made) {
-      respond(made.status().code(), made.headers(), made.content());
-    }
-
-    @Override
-    public void respond(int status, HttpHeaders headers, ByteBuf body) {
-      response.complete(status + " " + body.toString(StandardCharsets.UTF_8));
+    public void respond(CallerResponse made) {
+      FullHttpResponse message = made.message();
+      String body = message.content().toString(StandardCharsets.UTF_8);
+      response.complete(message.status().code() + " " + body);
     }
 
     @Override
--- a/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
@@ -207,6 +207,8 @@
       case 3 -> new Behaviour.Answer(500, "failed");
       case 4 -> new Behaviour.AnswerTwice("for " + id);
       case 5 -> new Behaviour.CutOff("for " + id);
+      case 8 -> new Behaviour.Answer(503, "failed");
+      case 9 -> new Behaviour.Answer(429, "failed");
       default -> isLeaving(backend, chance) ? leave(instance, backend, id) : good;
     };
   }
