Stop accepting connections before a listener counts as closed

Cause: HttpListener.close() did not wait for its accept loop. Until a waiting accept returns the socket still listens; what it takes then is reset, or stays open unserved, since the executor is shut down.

Change: stopAccepting() waits for the accept loop after closing its socket.

--- a/http/src/main/java/org/kumquatplank/http/HttpListener.java
+++ b/http/src/main/java/org/kumquatplank/http/HttpListener.java
@@ -44,6 +44,7 @@
   private final DefaultBHttpServerConnectionFactory connections;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final Set<ServerConnection> openConnections = ConcurrentHashMap.newKeySet();
+  private final Thread acceptThread;
   private volatile boolean accepting = true;
   private volatile boolean closing;
 
@@ -61,6 +62,8 @@
         new JsonErrorHttpService(
             HttpProcessors.server(SERVER_NAME),
             new HandlerAdapter(handler, limits, budget, this::keepAlive));
+    String threadName = "accept-" + socket.getLocalPort();
+    this.acceptThread = Thread.ofVirtual().name(threadName).unstarted(this::acceptLoop);
   }
 
   /**
@@ -76,7 +79,7 @@
       socket.setReuseAddress(true);
       socket.bind(new InetSocketAddress(InetAddress.getByName(host), port), ACCEPT_BACKLOG);
       HttpListener listener = new HttpListener(socket, limits, handler);
-      Thread.ofVirtual().name("accept-" + port).start(listener::acceptLoop);
+      listener.acceptThread.start();
       Thread.ofVirtual().name("guard-" + port).start(listener::closeStalledWrites);
       return listener;
     } catch (IOException e) {
@@ -103,6 +106,7 @@
   public void stopAccepting() {
     accepting = false;
     closeQuietly();
+    awaitAcceptLoop();
     openConnections.stream().filter(c -> !c.busy()).forEach(ServerConnection::close);
   }
 
@@ -132,6 +136,15 @@
     }
   }
 
+  /** Waits for the accept loop, which holds the listening socket open until it ends. */
+  private void awaitAcceptLoop() {
+    try {
+      acceptThread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void acceptLoop() {
     while (accepting) {
       try {
