Take a body without length for whole only if the request went through

Cause: each end of a connection was taken for the end of such a body: an end of the server's direction while the request was still being written, and the close that follows a failed write, at which the decoder ends the body though no read has failed. Besides, the system's buffers took some 3 MB of a request of which the server had read nothing. A safe route, a stream and a 500 were forwarded in part too.

Change: connections to backend servers may be half closed. A body without length is whole only if the server ended its direction and the request is written; otherwise the instance goes on writing, and a failed write ends the call as broken. Bodies over 128 KiB have a send buffer of that size. At kumquatplankd the send buffer is limited alike; a write that blocks ends at the deadline of its request (WriteDeadline).

--- a/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
@@ -5,7 +5,10 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -40,6 +43,14 @@
   /** The same limit on chunks, as tiny ones cost more time than their bytes. */
   private static final int MAX_WITHHELD_CHUNKS = 65_536;
 
+  /**
+   * Limit on the bytes of a larger request body that are written before the backend server takes
+   * them, so that a write completes only if the backend server reads.
+   */
+  private static final int UPLOAD_BUFFER_BYTES = 128 * 1024;
+
+  private static final String CLOSED_EARLY = "closed before the answer was whole";
+
   /** Limit on the interim and late responses before the expected one. */
   private static final int MAX_SKIPPED_RESPONSES = 32;
 
@@ -57,6 +68,8 @@
   private boolean carriedRequest;
   private boolean reset;
   private boolean requestWritten;
+  private boolean serverEnded;
+  private boolean endAwaitsWrite;
   private long idleDeadline;
 
   BackendConnection(BackendPool pool, BackendPool.Key key) {
@@ -110,7 +123,7 @@
   }
 
   /** Sends a request; its response is delivered to the call. */
-  void send(BackendCall newCall, Object request) {
+  void send(BackendCall newCall, FullHttpRequest request) {
     call = newCall;
     head = null;
     withheldBytes = 0;
@@ -118,8 +131,21 @@
     skippedResponses = 0;
     skippingResponse = false;
     requestWritten = false;
+    if (request.content().readableBytes() > UPLOAD_BUFFER_BYTES) {
+      channel.config().setOption(ChannelOption.SO_SNDBUF, UPLOAD_BUFFER_BYTES);
+    }
     ChannelFuture future = channel.writeAndFlush(request);
-    future.addListener(f -> requestWritten = f.isSuccess());
+    future.addListener(f -> onWritten(newCall, f.isSuccess()));
+  }
+
+  /** A failed write closes the channel, and so ends the call. */
+  private void onWritten(BackendCall writtenCall, boolean success) {
+    if (call == writtenCall && success) {
+      requestWritten = true;
+      if (endAwaitsWrite) {
+        complete();
+      }
+    }
   }
 
   /** Cancels the call: the backend server stops working on it when the connection closes. */
@@ -149,7 +175,29 @@
     }
   }
 
-  /** Closes a connection on which bytes arrive while it is idle, or too many during a call. */
+  /** Ends the call with its response, and keeps the connection if it can be used again. */
+  private void complete() {
+    BackendCall ended = call;
+    call = null;
+    carriedRequest = true;
+    boolean clean = requestWritten && !sawForeignResponse && !decoder.hasUnreadBytes();
+    if (clean && head.connectionReusable() && channel.isActive()) {
+      channel.config().setAutoRead(true);
+      pool.release(this, head.keepAliveMillis());
+    } else {
+      channel.close();
+    }
+    if (!head.bodyDelimited()) {
+      // The end of the connection ends the body, also where the backend server crashed.
+      ended.onConnectionLost(head.isSuccess());
+    }
+    ended.onEnd();
+  }
+
+  /**
+   * Closes a connection on which bytes arrive while it is idle, or too many during a call, and
+   * records that the backend server has ended its direction before the decoder sees that.
+   */
   private final class DataGuard extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
@@ -164,6 +212,12 @@
         closeBroken("bytes without end");
       }
     }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      serverEnded |= event instanceof ChannelInputShutdownEvent;
+      ctx.fireUserEventTriggered(event);
+    }
   }
 
   /** Handles the decoded responses. */
@@ -257,21 +311,24 @@
         closeBroken("reset");
         return;
       }
-      BackendCall ended = call;
-      call = null;
-      carriedRequest = true;
-      boolean clean = requestWritten && !sawForeignResponse && !decoder.hasUnreadBytes();
-      if (clean && head.connectionReusable() && channel.isActive()) {
-        channel.config().setAutoRead(true);
-        pool.release(BackendConnection.this, head.keepAliveMillis());
-      } else {
-        channel.close();
+      if (!head.bodyDelimited() && !serverEnded && !channel.isActive()) {
+        // A failed write has closed the connection, so the body may be cut off.
+        closeLost(CLOSED_EARLY);
+        return;
+      }
+      // A backend server that will not read the rest of the request resets the connection, maybe
+      // after it has ended its direction: only a complete write shows that the body is whole.
+      endAwaitsWrite = !head.bodyDelimited() && serverEnded && !requestWritten;
+      if (!endAwaitsWrite) {
+        complete();
       }
-      if (!head.bodyDelimited()) {
-        // The end of the connection ends the body, also where the backend server crashed.
-        ended.onConnectionLost(head.isSuccess());
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      if (event instanceof ChannelInputShutdownEvent && !endAwaitsWrite) {
+        closeLost(CLOSED_EARLY);
       }
-      ended.onEnd();
     }
 
     @Override
@@ -286,7 +343,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       pool.onClosed(BackendConnection.this);
-      closeLost("closed before the answer was whole");
+      closeLost(CLOSED_EARLY);
     }
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendPool.java
@@ -133,6 +133,7 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
--- a/edge/src/main/java/org/kumquatplank/edge/Exchange.java
+++ b/edge/src/main/java/org/kumquatplank/edge/Exchange.java
@@ -1,6 +1,7 @@
 package org.kumquatplank.edge;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -125,7 +126,7 @@
     dispatcher.pool().acquire(selection.backend(), !request.route().isRetryable(), call);
   }
 
-  Object backendRequest(BackendCall forCall) {
+  FullHttpRequest backendRequest(BackendCall forCall) {
     BackendState backend = forCall.selection().backend();
     return forwarded.encode(backend.server().id(), model, held.events().lastId());
   }
--- a/edge/src/main/java/org/kumquatplank/edge/ForwardedRequest.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.kumquatplank.edge;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.Optional;
 import org.kumquatplank.core.dispatch.DispatchRequest;
 import org.kumquatplank.platform.wire.BackendProtocol;
@@ -32,7 +33,7 @@
    *
    * @param lastSentEvent id of the last event that was sent to the caller
    */
-  Object encode(String backendId, Optional<String> model, Optional<String> lastSentEvent) {
+  FullHttpRequest encode(String backendId, Optional<String> model, Optional<String> lastSentEvent) {
     long remainingMillis =
         Math.max(1, (dispatch.deadlineMicros() - Clock.micros()) / MICROS_PER_MILLI);
     Optional<String> account =
--- a/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/kumquatplank/edge/EdgeFixture.java
@@ -45,6 +45,7 @@
   private final DataPlane dataPlane;
   private int version = 1;
   private String coldStart = "";
+  private int maxBodyBytes = 65_536;
 
   private EdgeFixture(long graceMillis) throws IOException {
     store = FakeStore.open(HOST);
@@ -196,6 +197,12 @@
     putCatalog("\"key-1\"");
   }
 
+  /** Writes a configuration that allows request bodies of this size, bytes. */
+  void putMaxBodyBytes(int bytes) {
+    maxBodyBytes = bytes;
+    putCatalog("\"key-1\"");
+  }
+
   /** Lets the traffic thread stand still for a time from now on, as in a frozen process. */
   void freeze(long millis) {
     CountDownLatch begun = new CountDownLatch(1);
@@ -207,7 +214,7 @@
     await(() -> begun.getCount() == 0);
   }
 
-  private static void pause(long millis) {
+  static void pause(long millis) {
     try {
       Thread.sleep(millis);
     } catch (InterruptedException e) {
@@ -246,7 +253,9 @@
             + "],\"services\":[{\"name\":\"pool\",\"connection_limit\":64"
             + coldStart
             + "}],"
-            + "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
+            + "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":"
+            + maxBodyBytes
+            + ","
             + "\"header_timeout_ms\":600,\"idle_timeout_ms\":5000},"
             + "\"tenants\":[{\"name\":\"t\",\"api_keys\":["
             + keys
--- a/http/src/main/java/org/kumquatplank/http/ClientConnection.java
+++ b/http/src/main/java/org/kumquatplank/http/ClientConnection.java
@@ -27,6 +27,11 @@
     socket.setDeadline(deadline);
   }
 
+  /** Limits the bytes that are written before the server takes them. */
+  void setSendBufferSize(int bytes) throws IOException {
+    socket.setSendBufferSize(bytes);
+  }
+
   /** Prepares the connection for the pool. */
   void clearDeadline() {
     socket.clearDeadline();
--- a/http/src/main/java/org/kumquatplank/http/PooledHttpClient.java
+++ b/http/src/main/java/org/kumquatplank/http/PooledHttpClient.java
@@ -39,6 +39,14 @@
  */
 public final class PooledHttpClient {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+
+  /**
+   * Limit on the bytes of a larger request body that are written before the server takes them. A
+   * server that responds before it has read the body and resets the connection then fails the
+   * write, so that a part of its response is not taken for the whole.
+   */
+  private static final int UPLOAD_BUFFER_BYTES = 128 * 1024;
+
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(5);
 
   /** Idle time from which a pooled connection is checked for closure before its reuse. */
@@ -87,8 +95,12 @@
    */
   public ClientResponse send(String endpoint, Request request, Instant deadline, Reuse reuse) {
     ClientConnection connection = connect(endpoint, reuse);
-    try {
+    try (WriteDeadline writeDeadline = WriteDeadline.of(connection, deadline)) {
       connection.setDeadline(deadline);
+      if (request.body().length() > UPLOAD_BUFFER_BYTES) {
+        connection.setSendBufferSize(UPLOAD_BUFFER_BYTES);
+        writeDeadline.start();
+      }
       HttpCoreContext context = HttpCoreContext.create();
       BasicClassicHttpRequest httpRequest = toMessage(endpoint, request);
       executor.preProcess(httpRequest, PROCESSOR, context);
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -8,7 +8,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -16,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Stand-in for a backend server that responds to each request as the test specifies, including with
@@ -25,7 +25,7 @@
  * responses.
  */
 public final class FakeBackendServer implements AutoCloseable {
-  private static final String OK_HEAD = "HTTP/1.1 200 OK\r\n";
+  static final String OK_HEAD = "HTTP/1.1 200 OK\r\n";
   private static final long LATE_RESPONSE_MILLIS = 50;
   private static final long REPLACEMENT_MILLIS = 200;
   private static final int BLOCK_BYTES = 16_384;
@@ -39,6 +39,7 @@
   private final AtomicInteger endlessResponses = new AtomicInteger();
   private final AtomicInteger crashes = new AtomicInteger();
   private volatile Consumer<String> restartListener = endedId -> {};
+  private volatile Predicate<Received> early = head -> false;
   private volatile boolean closed;
 
   private FakeBackendServer(
@@ -63,6 +64,16 @@
     }
   }
 
+  /** How the backend server ends a connection. */
+  public enum End {
+    /** Resets it. */
+    RESET,
+    /** Ends its own direction, and resets the connection later. */
+    HALF_CLOSE_AND_RESET,
+    /** Ends its own direction, and reads what the caller sends until the caller ends its own. */
+    HALF_CLOSE_AND_READ
+  }
+
   /** How the backend server responds to a request. */
   public sealed interface Behaviour {
     /** Executes the request and responds. */
@@ -118,6 +129,14 @@
     /** Executes the request, sends these bytes, and closes the connection. */
     record Raw(String bytes) implements Behaviour {}
 
+    /**
+     * Executes the request, sends these bytes and ends the connection; for a server that responds
+     * early, while the body of the request may still be on its way.
+     *
+     * @param pauseMillis pause between the end of the response and a reset, milliseconds
+     */
+    record RawEnd(String bytes, End end, long pauseMillis) implements Behaviour {}
+
     /** Closes the connection before the end of the response body. */
     record CutOff(String body) implements Behaviour {}
 
@@ -158,6 +177,11 @@
     restartListener = newListener;
   }
 
+  /** Sets which requests are responded to before their body is read; they have no body then. */
+  public void respondEarly(Predicate<Received> newEarly) {
+    early = newEarly;
+  }
+
   /** Returns the id of the current process. */
   public String id() {
     return id;
@@ -211,7 +235,7 @@
   }
 
   private void restart(long downMillis) {
-    pause(downMillis);
+    RawWriter.pause(downMillis);
     String endedId = id;
     synchronized (this) {
       if (closed) {
@@ -246,7 +270,8 @@
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
       while (true) {
-        Received request = RequestReader.read(in);
+        Received head = RequestReader.readHead(in);
+        Received request = early.test(head) ? head : RequestReader.readBody(in, head);
         received.add(request);
         if (!respond(socket, request)) {
           return;
@@ -261,17 +286,18 @@
     OutputStream out = socket.getOutputStream();
     ResponseText text = new ResponseText(id, request.header("x-attempt-id"));
     if (!request.header("x-target-replica").equals(id)) {
-      write(out, text.misdirected(true));
+      RawWriter.write(out, text.misdirected(true));
       return true;
     }
     switch (behaviour.apply(request)) {
-      case Behaviour.Answer a -> write(out, text.full(a.status(), "", a.body()));
-      case Behaviour.AnswerWith a -> write(out, text.full(200, a.headers(), a.body()));
+      case Behaviour.Answer a -> RawWriter.write(out, text.full(a.status(), "", a.body()));
+      case Behaviour.AnswerWith a -> RawWriter.write(out, text.full(200, a.headers(), a.body()));
       case Behaviour.RefuseWith r ->
-          write(out, text.full(503, "X-Not-Executed: 1\r\n" + r.headers(), ""));
+          RawWriter.write(out, text.full(503, "X-Not-Executed: 1\r\n" + r.headers(), ""));
       case Behaviour.Refuse r ->
-          write(out, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-      case Behaviour.Misdirected m -> write(out, text.misdirected(m.namesServer()));
+          RawWriter.write(
+              out, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      case Behaviour.Misdirected m -> RawWriter.write(out, text.misdirected(m.namesServer()));
       case Behaviour.Reset r -> {
         socket.setSoLinger(true, 0);
         return false;
@@ -284,26 +310,29 @@
         return socket.getInputStream().read() >= 0;
       }
       case Behaviour.AnswerTwice a -> {
-        write(out, text.full(200, "", a.body()));
-        pause(LATE_RESPONSE_MILLIS);
-        write(out, new ResponseText(id, "another-request").full(200, "", "not yours"));
+        RawWriter.write(out, text.full(200, "", a.body()));
+        RawWriter.pause(LATE_RESPONSE_MILLIS);
+        RawWriter.write(out, new ResponseText(id, "another-request").full(200, "", "not yours"));
       }
-      case Behaviour.StrayBytes s -> write(out, s.stray() + text.full(200, "", s.body()));
+      case Behaviour.StrayBytes s -> RawWriter.write(out, s.stray() + text.full(200, "", s.body()));
       case Behaviour.Raw r -> {
-        write(out, r.bytes());
+        RawWriter.write(out, r.bytes());
         return false;
       }
+      case Behaviour.RawEnd r -> {
+        return RawWriter.writeAndEnd(socket, r);
+      }
       case Behaviour.CutOff c -> {
         String response = text.full(200, "", c.body());
-        write(out, response.substring(0, response.length() - 2));
+        RawWriter.write(out, response.substring(0, response.length() - 2));
         return false;
       }
       case Behaviour.Unframed u -> {
-        write(out, OK_HEAD + text.identity() + "\r\n" + u.body());
+        RawWriter.write(out, OK_HEAD + text.identity() + "\r\n" + u.body());
         return false;
       }
       case Behaviour.Stream s -> {
-        return writeStream(out, request, s);
+        return RawWriter.writeStream(out, id, request, s);
       }
       case Behaviour.Endless e -> {
         writeEndless(out, e);
@@ -313,57 +342,21 @@
     return true;
   }
 
-  private boolean writeStream(OutputStream out, Received request, Behaviour.Stream stream)
-      throws IOException {
-    String lastEventId = request.header("last-event-id");
-    int firstEvent = lastEventId.isEmpty() ? 1 : Integer.parseInt(lastEventId) + 1;
-    write(
-        out,
-        OK_HEAD
-            + new ResponseText(id, request.header("x-attempt-id")).identity()
-            + "X-Confidence: "
-            + stream.confidence()
-            + "\r\n"
-            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for (int i = firstEvent; i <= stream.last(); i++) {
-      String event = "id: " + i + "\ndata: piece " + i + "\n\n";
-      if (stream.breakAfter() > 0 && i > stream.breakAfter()) {
-        writeChunk(out, event.substring(0, event.length() / 2));
-        return false;
-      }
-      writeChunk(out, event);
-    }
-    write(out, "0\r\n\r\n");
-    return true;
-  }
-
   private void writeEndless(OutputStream out, Behaviour.Endless endless) throws IOException {
     endlessResponses.incrementAndGet();
     try {
-      write(out, endless.start());
+      RawWriter.write(out, endless.start());
       int copies = endless.pauseMillis() > 0 ? 1 : 1 + BLOCK_BYTES / endless.repeated().length();
       String block = endless.repeated().repeat(copies);
       while (true) {
-        pause(endless.pauseMillis());
-        write(out, block);
+        RawWriter.pause(endless.pauseMillis());
+        RawWriter.write(out, block);
       }
     } finally {
       endlessResponses.decrementAndGet();
     }
   }
 
-  private static void writeChunk(OutputStream out, String text) throws IOException {
-    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-  }
-
-  private static void pause(long millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** Returns the status line and identity headers of a success, without an end of the head. */
   public static String openHead(Received request) {
     return OK_HEAD
@@ -371,11 +364,6 @@
             .identity();
   }
 
-  private static void write(OutputStream out, String text) throws IOException {
-    out.write(text.getBytes(StandardCharsets.UTF_8));
-    out.flush();
-  }
-
   /** Returns the attempt ids of the received requests that were addressed to this server. */
   public List<String> ran() {
     return received.stream()
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/RequestReader.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/RequestReader.java
@@ -13,7 +13,8 @@
 final class RequestReader {
   private RequestReader() {}
 
-  static Received read(InputStream in) throws IOException {
+  /** Reads the request line and headers. */
+  static Received readHead(InputStream in) throws IOException {
     String line = readLine(in);
     Map<String, String> headers = new LinkedHashMap<>();
     for (String header = readLine(in); !header.isEmpty(); header = readLine(in)) {
@@ -21,9 +22,14 @@
       headers.put(
           header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).trim());
     }
-    int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    return new Received(line, headers, "");
+  }
+
+  /** Reads the body of a request and returns the whole request. */
+  static Received readBody(InputStream in, Received head) throws IOException {
+    int length = Integer.parseInt(head.headers().getOrDefault("content-length", "0"));
     String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
-    return new Received(line, headers, body);
+    return new Received(head.line(), head.headers(), body);
   }
 
   private static String readLine(InputStream in) throws IOException {
