Take a response without a valid status for none

Callers saw (MIXED): a response whose status is 000 was forwarded with its body and seal, as "HTTP/1.1 0 Unknown Status"; 0200 and +200 as 200.

Cause: the decoder of the library takes any number for a status, and each status that is neither a success nor a refusal is forwarded as a failure of the backend server.

Change: ResponseDecoder, for backend servers and the store, and StatusLineParser, for the clients of kumquatplankd, take HTTP/1 and three digits from 100 to 599 only; all else is a response that can't be read.

Failed before: InvalidStatusTest.testResponseWithAnInvalidStatusIsNotForwarded [HTTP/1.1 000 OK] Expecting actual: "HTTP/1.1 0 Unknown Status (0) ... X-Response-Seal: seal-of-i-0 ... ok" to start with "HTTP/1.1 502 " InvalidStatusResponseTest.testResponseWithAnInvalidStatusIsNone [099] expected: 0 but was: 99 InvalidStatusClientTest.testResponseWithAnInvalidStatusIsNone [HTTP/1.1 600 OK] Expecting actual not to be null With the statuses 0200, +200 and 0412 put first, the first two failed too on (200, 200, 412; a page, a page, 412); the third didn't.

--- a/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
+++ b/edge/src/main/java/org/kumquatplank/edge/BackendConnection.java
@@ -11,10 +11,8 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -22,6 +20,7 @@
 import java.io.IOException;
 import org.kumquatplank.platform.wire.BackendProtocol;
 import org.kumquatplank.platform.wire.BackendResponseHead;
+import org.kumquatplank.platform.wire.ResponseDecoder;
 
 /**
  * A connection to a backend server that carries one request at a time.
@@ -56,7 +55,12 @@
 
   private final BackendPool pool;
   private final BackendPool.Key key;
-  private final Decoder decoder = new Decoder();
+  private final ResponseDecoder decoder =
+      ResponseDecoder.create(
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(MAX_LINE_BYTES)
+              .setMaxHeaderSize(MAX_HEADER_BYTES)
+              .setMaxChunkSize(MAX_CHUNK_BYTES));
   private Channel channel;
   private BackendCall call;
   private BackendResponseHead head;
@@ -77,27 +81,6 @@
     this.key = key;
   }
 
-  /** Decoder that also reports whether unread bytes follow a response. */
-  private static final class Decoder extends HttpResponseDecoder {
-    Decoder() {
-      super(
-          new HttpDecoderConfig()
-              .setMaxInitialLineLength(MAX_LINE_BYTES)
-              .setMaxHeaderSize(MAX_HEADER_BYTES)
-              .setMaxChunkSize(MAX_CHUNK_BYTES));
-    }
-
-    boolean hasUnreadBytes() {
-      return actualReadableBytes() > 0;
-    }
-
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException(
-          "message has both Content-Length and Transfer-Encoding: chunked");
-    }
-  }
-
   void addTo(ChannelPipeline pipeline) {
     pipeline.addLast(new DataGuard(), decoder, new HttpRequestEncoder(), new ResponseHandler());
   }
--- a/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
@@ -209,6 +209,7 @@
       case 5 -> new Behaviour.CutOff("for " + id);
       case 8 -> new Behaviour.Answer(503, "failed");
       case 9 -> new Behaviour.Answer(429, "failed");
+      case 10 -> new Behaviour.Answer(0, "for " + id);
       default -> isLeaving(backend, chance) ? leave(instance, backend, id) : good;
     };
   }
--- a/http/src/main/java/org/kumquatplank/http/PooledHttpClient.java
+++ b/http/src/main/java/org/kumquatplank/http/PooledHttpClient.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -64,7 +65,9 @@
           .build();
 
   private final DefaultBHttpClientConnectionFactory connections =
-      DefaultBHttpClientConnectionFactory.builder().build();
+      DefaultBHttpClientConnectionFactory.builder()
+          .responseParserFactory(new DefaultHttpResponseParserFactory(new StatusLineParser(), null))
+          .build();
   private final HttpRequestExecutor executor = new HttpRequestExecutor();
   private final ConcurrentHashMap<String, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
 
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeBackendServer.java
@@ -76,7 +76,7 @@
 
   /** How the backend server responds to a request. */
   public sealed interface Behaviour {
-    /** Executes the request and responds. */
+    /** Executes the request and responds; any number goes as a status. */
     record Answer(int status, String body) implements Behaviour {}
 
     /**
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/ResponseText.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/ResponseText.java
@@ -1,5 +1,7 @@
 package org.kumquatplank.testkit.fleet;
 
+import java.util.Locale;
+
 /**
  * Text of the responses of a stand-in for a backend server to one request.
  *
@@ -19,7 +21,7 @@
    */
   String full(int status, String headers, String body) {
     return "HTTP/1.1 "
-        + status
+        + String.format(Locale.ROOT, "%03d", status)
         + " S\r\n"
         + identity()
         + headers
