--- a/daemon/src/test/java/org/kumquatplank/daemon/ServiceCallHandlerTest.java
+++ b/daemon/src/test/java/org/kumquatplank/daemon/ServiceCallHandlerTest.java
@@ -103,12 +103,7 @@
                 0,
                 ServerLimits.defaults(),
                 request -> failAfterConfirmationExpired(instance))) {
-      instance.applyRecord(
-          0, InstanceFixture.change(0, new ConfigOp.Put(ACCOUNT), new ConfigOp.Put(SERVICE)));
-      instance.freshness.confirmByLog(0);
-      instance.setInstances(
-          InstanceFixture.listed("s1", Role.SERVICE, server.port(), Set.of()),
-          InstanceFixture.listed("s2", Role.SERVICE, server.port(), Set.of()));
+      configure(instance, server);
       RouterException failure =
           catchThrowableOfType(
               RouterException.class,
