--- a/core/src/main/java/org/kumquatplank/core/relay/ChangeBuffer.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/ChangeBuffer.java
@@ -37,7 +37,7 @@
     return new ChangeBuffer<>(retentionMicros, keyOf);
   }
 
-  private record Batch<T>(long from, long next, long addedAt, List<T> changes) {}
+  private record Batch<T>(LogPosition from, LogPosition next, long addedAt, List<T> changes) {}
 
   /**
    * Adds the changes of a read of the topic and drops batches whose retention has passed.
@@ -45,7 +45,7 @@
    * <p>If there is a gap between this read and the previous one, all earlier batches are dropped.
    */
   public void add(TopicUpdate<T> read, long now) {
-    if (!batches.isEmpty() && batches.peekLast().next() != read.from()) {
+    if (!batches.isEmpty() && !batches.peekLast().next().equals(read.from())) {
       batches.clear();
     }
     batches.addLast(new Batch<>(read.from(), read.next(), now, read.changes()));
--- a/core/src/test/java/org/kumquatplank/core/placement/EvacuationModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/placement/EvacuationModelTest.java
@@ -23,6 +23,7 @@
 import org.kumquatplank.core.dispatch.Samples;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.relay.ChangeBuffer;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicCursor;
 import org.kumquatplank.core.relay.TopicUpdate;
@@ -44,7 +45,11 @@
   private static final String DOMAIN = "b";
 
   /** A change of the topic. */
-  private record Change(long offset, String key, boolean present) {}
+  private record Change(long offset, String key, boolean present) {
+    LogPosition position() {
+      return LogPosition.of(0, offset);
+    }
+  }
 
   /** The store: the log, and the first offset that can be read. */
   private static final class Store {
@@ -66,7 +71,7 @@
   private static final class Instance {
     private final String name;
     private final ReaderElection election;
-    private final TopicCursor<Change> cursor = TopicCursor.create(Change::offset, Change::key);
+    private final TopicCursor<Change> cursor = TopicCursor.create(Change::position, Change::key);
     private final ChangeBuffer<Change> buffer = ChangeBuffer.create(REPEAT, Change::key);
     private final EvacuationList list = EvacuationList.create();
     private final BackendRegistry registry = BackendRegistry.create();
@@ -135,18 +140,21 @@
         continue;
       }
       instance.nextReadAt = now + READ_INTERVAL;
-      if (instance.cursor.nextOffset() < store.firstOffset) {
+      if (instance.cursor.next().offset() < store.firstOffset) {
         instance.cursor.beginListing();
         instance.onListed(
-            instance.cursor.onListed(
-                new TopicUpdate<>(store.log.size(), store.log.size(), store.newest())),
+            instance
+                .cursor
+                .onListed(TopicUpdate.of(0, store.log.size(), store.log.size(), store.newest()))
+                .orElseThrow(),
             now);
       } else {
-        long from = instance.cursor.beginRead();
+        long from = instance.cursor.beginRead().offset();
         TopicUpdate<Change> read =
-            new TopicUpdate<>(
-                from, store.log.size(), store.log.subList((int) from, store.log.size()));
-        instance.buffer.add(instance.cursor.onRead(read, c -> instance.apply(c, now)), now);
+            TopicUpdate.of(
+                0, from, store.log.size(), store.log.subList((int) from, store.log.size()));
+        instance.buffer.add(
+            instance.cursor.onRead(read, c -> instance.apply(c, now)).orElseThrow(), now);
         send(instance, instance.buffer.bufferedSpan().orElseThrow(), now);
       }
     }
@@ -165,8 +173,10 @@
     Instance instance = new Instance(String.format("n-%03d", number));
     instance.cursor.beginListing();
     instance.onListed(
-        instance.cursor.onListed(
-            new TopicUpdate<>(store.log.size(), store.log.size(), store.newest())),
+        instance
+            .cursor
+            .onListed(TopicUpdate.of(0, store.log.size(), store.log.size(), store.newest()))
+            .orElseThrow(),
         0);
     instances.add(instance);
     return instance;
--- a/core/src/test/java/org/kumquatplank/core/relay/RelayModelTest.java
+++ b/core/src/test/java/org/kumquatplank/core/relay/RelayModelTest.java
@@ -27,14 +27,18 @@
   private static final long RETENTION = 60;
 
   /** A change of the topic; an empty value deletes the key. */
-  private record Change(long offset, String key, String value) {}
+  private record Change(long offset, String key, String value) {
+    LogPosition position() {
+      return LogPosition.of(0, offset);
+    }
+  }
 
   /** An update on its way to an instance. */
   private record Datagram(int receiver, TopicUpdate<Change> update) {}
 
   /** An instance with the values that it has applied. */
   private static final class Instance {
-    private final TopicCursor<Change> cursor = TopicCursor.create(Change::offset, Change::key);
+    private final TopicCursor<Change> cursor = TopicCursor.create(Change::position, Change::key);
     private final ChangeBuffer<Change> buffer = ChangeBuffer.create(RETENTION, Change::key);
     private final Map<String, Change> applied = new HashMap<>();
     private OptionalLong readFrom = OptionalLong.empty();
@@ -99,7 +103,7 @@
 
     private void beginRead(Instance instance) {
       if (instance.readFrom.isEmpty() && instance.listing.isEmpty()) {
-        instance.readFrom = OptionalLong.of(instance.cursor.beginRead());
+        instance.readFrom = OptionalLong.of(instance.cursor.beginRead().offset());
       }
     }
 
@@ -117,9 +121,9 @@
       }
       long from = instance.readFrom.getAsLong();
       TopicUpdate<Change> read =
-          new TopicUpdate<>(from, log.size(), log.subList((int) from, log.size()));
+          TopicUpdate.of(0, from, log.size(), log.subList((int) from, log.size()));
       instance.readFrom = OptionalLong.empty();
-      TopicUpdate<Change> update = instance.cursor.onRead(read, instance::apply);
+      TopicUpdate<Change> update = instance.cursor.onRead(read, instance::apply).orElseThrow();
       instance.buffer.add(update, now);
       for (int i = 0; i < INSTANCES; i++) {
         if (instances.get(i) != instance) {
@@ -157,8 +161,10 @@
       Listing listing = instance.listing.get();
       instance.listing = Optional.empty();
       List<Change> records =
-          instance.cursor.onListed(
-              new TopicUpdate<>(listing.end(), listing.end(), listing.page().get()));
+          instance
+              .cursor
+              .onListed(TopicUpdate.of(0, listing.end(), listing.end(), listing.page().get()))
+              .orElseThrow();
       instance.applied.clear();
       records.forEach(c -> instance.applied.put(c.key(), c));
       instance.listedUntil = listing.pageEnd();
@@ -193,7 +199,7 @@
     }
 
     private void check(Instance instance, String key) {
-      long next = instance.cursor.nextOffset();
+      long next = instance.cursor.next().offset();
       Change applied = instance.applied.get(key);
       String expected = valueBelow(key, next);
       if (applied != null && applied.offset() >= next) {
@@ -215,7 +221,7 @@
     world.instances.forEach(
         i -> {
           i.cursor.beginListing();
-          assertThat(i.cursor.onListed(new TopicUpdate<>(0, 0, List.of()))).isEmpty();
+          assertThat(i.cursor.onListed(TopicUpdate.of(0, 0, 0, List.of()))).contains(List.of());
         });
     for (int choice : schedule) {
       world.step(choice);
--- a/core/src/test/java/org/kumquatplank/core/rollout/RolloutSimulation.java
+++ b/core/src/test/java/org/kumquatplank/core/rollout/RolloutSimulation.java
@@ -10,6 +10,7 @@
 import org.kumquatplank.core.catalog.RolloutOrder;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.membership.Succession;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.rollout.RolloutStateMachine.Phase;
 
 /**
@@ -66,7 +67,9 @@
     void start(long now) {
       starts++;
       startedAt = now;
-      machine = RolloutStateMachine.create(new RolloutOrder(7, "pool", "v2", 24_000), now);
+      machine =
+          RolloutStateMachine.create(
+              new RolloutOrder(LogPosition.of(0, 7), "pool", "v2", 24_000), now);
       if (now > 0) {
         // The store names the start of the rollout.
         machine.extendElapsed(now, now);
--- a/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
+++ b/core/src/test/java/org/kumquatplank/core/rollout/RolloutStateMachineTest.java
@@ -9,11 +9,13 @@
 import net.jqwik.api.Example;
 import org.kumquatplank.core.catalog.RolloutOrder;
 import org.kumquatplank.core.dispatch.VersionRule;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.rollout.RolloutStateMachine.Phase;
 
 class RolloutStateMachineTest {
   private static final long SECOND = 1_000_000;
-  private static final RolloutOrder ORDER = new RolloutOrder(7, "pool", "v2", 24_000);
+  private static final RolloutOrder ORDER =
+      new RolloutOrder(LogPosition.of(0, 7), "pool", "v2", 24_000);
 
   private final RolloutStateMachine machine = RolloutStateMachine.create(ORDER, 0);
 
@@ -115,7 +117,8 @@
    */
   private static double shareOfSlowVersion(int perSecond, long durationMillis, long lagMicros) {
     RolloutStateMachine rollout =
-        RolloutStateMachine.create(new RolloutOrder(7, "pool", "v2", durationMillis), 0);
+        RolloutStateMachine.create(
+            new RolloutOrder(LogPosition.of(0, 7), "pool", "v2", durationMillis), 0);
     long usualMicros = 1_000_000;
     List<Send> sends = new ArrayList<>();
     int total = (int) (perSecond * durationMillis / 1_000);
--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -17,6 +17,7 @@
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.membership.Succession;
 import org.kumquatplank.core.placement.ColdNews;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.EdgeDigest;
@@ -67,6 +68,8 @@
   private final RolloutManager rollouts;
   private final EvacuationManager evacuations = new EvacuationManager();
   private final PeerDirectory directory;
+  private final InstanceDiscovery discovery;
+  private final OperatorTopic operatorTopic;
   private final StoreFollower operatorRecords;
   private final StoreFollower serverRecords;
   private Optional<Catalog> catalog = Optional.empty();
@@ -95,10 +98,11 @@
             settings.region(),
             startedMillis,
             new PeerListener());
+    this.discovery = InstanceDiscovery.create(settings, loop, store, directory);
+    this.operatorTopic = new OperatorTopic(new OperatorRecords());
     this.operatorRecords =
         follower(
-            new StoreFollower.Topic(OPERATOR_TOPIC, OPERATOR_LONG_POLL_MILLIS, 0),
-            new OperatorRecords());
+            new StoreFollower.Topic(OPERATOR_TOPIC, OPERATOR_LONG_POLL_MILLIS, 0), operatorTopic);
     this.serverRecords =
         follower(
             new StoreFollower.Topic(SERVERS_TOPIC, 0, SERVERS_POLL_INTERVAL_MILLIS),
@@ -125,7 +129,7 @@
     }
     operatorRecords.start();
     serverRecords.start();
-    InstanceDiscovery.create(settings, loop, store, directory).start();
+    discovery.start();
     sendDigests();
     loop.scheduleAtFixedRate(
         () -> EdgeLog.runLoggingFailures("control", this::runPeriodicTasks),
@@ -154,22 +158,17 @@
   }
 
   /** Handles the operator's records: the configuration, roll-out orders and evacuations. */
-  private final class OperatorRecords implements StoreFollower.Listener {
+  private final class OperatorRecords implements OperatorTopic.Receiver {
     private final TopicUpdates updates = new TopicUpdates(settings.instance(), OPERATOR_TOPIC);
 
     @Override
-    public void onSnapshot(List<StoreRecord> records) {
-      evacuations.onSnapshot(records, source());
-      apply(records, false);
+    public void onListed(List<StoreRecord> newest, LogPosition end) {
+      rollouts.setEra(end.era());
+      evacuations.onSnapshot(newest, source());
     }
 
     @Override
-    public List<StoreRecord> onChanges(List<StoreRecord> records) {
-      apply(records, true);
-      return records;
-    }
-
-    private void apply(List<StoreRecord> records, boolean areNew) {
+    public void apply(List<StoreRecord> records, boolean areNew) {
       // First, so that no request is sent by a configuration without the evacuations beside it.
       evacuations.onChanges(records, source()).ifPresent(ControlPlane.this::publishEvacuated);
       records.forEach(r -> StoreFollower.applyOrLog(r, record -> onOperatorRecord(record, areNew)));
@@ -177,7 +176,10 @@
     }
 
     @Override
-    public void onRecovered(long outageMicros) {}
+    public void onStoreRestored() {
+      discovery.onStoreRestored();
+      dataPlane.metrics().count("store_restored");
+    }
 
     @Override
     public void onConfirmed(TopicUpdate<StoreRecord> update) {
@@ -207,12 +209,13 @@
         dataPlane.setCatalog(read);
         EdgeLog.event("catalog")
             .addKeyValue("version", read.version())
-            .addKeyValue("offset", record.offset())
+            .addKeyValue("offset", record.position())
             .addKeyValue("source", source())
             .log();
       }
     } else if (CatalogDecoder.isRollout(record.key())) {
-      rollouts.onOrder(CatalogDecoder.decodeRollout(value, record.offset()), isNew, Clock.micros());
+      rollouts.onOrder(
+          CatalogDecoder.decodeRollout(value, record.position()), isNew, Clock.micros());
     }
   }
 
@@ -221,11 +224,21 @@
     private final TopicUpdates updates = new TopicUpdates(settings.instance(), SERVERS_TOPIC);
 
     @Override
-    public void onSnapshot(List<StoreRecord> records) {
+    public void onSnapshot(List<StoreRecord> records, LogPosition end) {
       servers.onSnapshot(records, Clock.micros());
       publishServers();
     }
 
+    @Override
+    public void onEraReplaced(LogPosition position) {}
+
+    @Override
+    public List<StoreRecord> onRestored(List<StoreRecord> records, LogPosition end) {
+      servers.onRestored(records, Clock.micros());
+      publishServers();
+      return List.of();
+    }
+
     @Override
     public List<StoreRecord> onChanges(List<StoreRecord> records) {
       List<StoreRecord> changed = servers.onChanges(records, Clock.micros());
@@ -297,6 +310,7 @@
 
   private void sendDigest() {
     long now = Clock.micros();
+    LogPosition operatorPosition = operatorRecords.status().next();
     EdgeDigest.Builder digest =
         EdgeDigest.newBuilder()
             .setFrontAddress(
@@ -306,7 +320,8 @@
             .setReady(trafficReport.ready() && !draining)
             .setLeaving(draining)
             .setCatalogVersion(catalogVersion())
-            .setOperatorOffset(operatorRecords.status().nextOffset())
+            .setOperatorEra(operatorPosition.era())
+            .setOperatorOffset(operatorPosition.offset())
             .setOperatorReaderAddress(operatorReaderAddress());
     BackendNewsCodec.addLoads(digest, trafficReport.loads());
     BackendNewsCodec.addLeaving(digest, trafficReport.leaving());
@@ -359,6 +374,7 @@
     if (!draining) {
       rollouts.syncStatus(succession, now);
     }
+    operatorTopic.applyDue();
     publishServers();
     publishVersionRules();
     boolean sendsTrials = !draining && succession.isFirst(now);
@@ -375,7 +391,7 @@
     receivedLoads.clear();
     receivedLeaving.clear();
     receivedCold.clear();
-    staleness.takeCatchUpOffset(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
+    staleness.takeCatchUpPosition(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
     staleness.check(catalogVersion(), operatorRecords.status(), serverRecords.status(), live, now);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/EvacuationManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EvacuationManager.java
@@ -23,7 +23,8 @@
     for (StoreRecord record : records) {
       CatalogDecoder.evacuatedFailureDomain(record.key()).ifPresent(listed::add);
     }
-    list.endUnlisted(listed).forEach(domain -> onChange("evacuation_ended", domain, -1, source));
+    list.endUnlisted(listed)
+        .forEach(domain -> onChange("evacuation_ended", domain, "listing", source));
   }
 
   /**
@@ -47,15 +48,15 @@
     boolean begins = record.value().isPresent();
     if (begins ? list.begin(domain) : list.end(domain)) {
       String event = begins ? "evacuation_begun" : "evacuation_ended";
-      onChange(event, domain, record.offset(), source);
+      onChange(event, domain, record.position().toString(), source);
     }
   }
 
-  private void onChange(String event, String domain, long offset, String source) {
+  private void onChange(String event, String domain, String position, String source) {
     changed = true;
     EdgeLog.event(event)
         .addKeyValue("failure_domain", domain)
-        .addKeyValue("offset", offset)
+        .addKeyValue("offset", position)
         .addKeyValue("source", source)
         .log();
   }
--- a/edge/src/main/java/org/kumquatplank/edge/InstanceDiscovery.java
+++ b/edge/src/main/java/org/kumquatplank/edge/InstanceDiscovery.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.kumquatplank.core.membership.Representatives;
 import org.kumquatplank.link.proto.EdgeDigest;
@@ -65,6 +65,11 @@
     schedule(FIRST_CHECK_MILLIS);
   }
 
+  /** Registers again at the next check, as the store may have lost the registration. */
+  void onStoreRestored() {
+    registered = false;
+  }
+
   private void schedule(long millis) {
     loop.schedule(this::check, millis, TimeUnit.MILLISECONDS);
   }
@@ -94,9 +99,9 @@
   private void register() {
     byte[] value = peerAddress(settings).getBytes(StandardCharsets.UTF_8);
     store
-        .put(TOPIC, settings.instance(), value, OptionalLong.empty())
+        .put(TOPIC, settings.instance(), value, Optional.empty())
         .whenComplete(
-            (offset, failure) -> {
+            (position, failure) -> {
               registered = failure == null;
               if (registered) {
                 list();
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -6,13 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.kumquatplank.core.catalog.BackendServer;
 import org.kumquatplank.core.catalog.RolloutOrder;
 import org.kumquatplank.core.dispatch.VersionRule;
 import org.kumquatplank.core.membership.Succession;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.rollout.RolloutStateMachine;
 import org.kumquatplank.core.rollout.VersionStats;
 import org.kumquatplank.link.proto.EdgeDigest;
@@ -38,23 +38,16 @@
   private static final long COMPLETION_DIGEST_MICROS = 5_000_000;
 
   private final StoreClient store;
-  private final Map<String, RolloutStateMachine> machines = new HashMap<>();
-  private final Map<Long, Map<VersionCounts.Key, VersionStats>> baselines = new HashMap<>();
+  private final Map<String, TrackedRollout> rollouts = new HashMap<>();
   private final Map<String, Set<String>> knownVersions = new HashMap<>();
-  private final Map<Long, RolloutStatus.State> recordedStates = new HashMap<>();
-  private final Map<Long, Long> startedMillis = new HashMap<>();
-  private final Map<Long, Long> outcomeSince = new HashMap<>();
-  private final Map<Long, Progress> loggedProgress = new HashMap<>();
   private Map<VersionCounts.Key, VersionStats> evidence = Map.of();
   private List<BackendServer> servers = List.of();
   private Set<String> evacuated = Set.of();
+  private long era = LogPosition.NO_ERA;
   private boolean statusKnown = true;
   private boolean storeCallPending;
   private long nextSyncAt;
 
-  /** Phase and steps of a roll-out, as last logged. */
-  private record Progress(RolloutStateMachine.Phase phase, int step) {}
-
   RolloutManager(StoreClient store) {
     this.store = store;
   }
@@ -66,21 +59,32 @@
    *     have been recorded before
    */
   void onOrder(RolloutOrder order, boolean isNew, long now) {
-    RolloutStateMachine known = machines.get(order.service());
-    if (known != null && known.order().offset() >= order.offset()) {
+    TrackedRollout known = rollouts.get(order.service());
+    if (known != null && known.isRepeatedBy(order)) {
+      known.moveTo(order.position());
+      return;
+    }
+    if (known != null && !known.position().isSupersededBy(order.position())) {
       return;
     }
     EdgeLog.event("rollout_ordered")
         .addKeyValue("service", order.service())
         .addKeyValue("target", order.targetVersion())
-        .addKeyValue("order", order.offset())
+        .addKeyValue("order", order.position())
         .log();
-    machines.put(order.service(), RolloutStateMachine.create(order, now));
-    baselines.put(order.offset(), evidence);
-    startedMillis.put(order.offset(), System.currentTimeMillis());
+    rollouts.put(order.service(), TrackedRollout.begin(order, isNew, evidence, now));
     statusKnown &= isNew;
   }
 
+  /** Sets the era of the store; the statuses may be missing in a new one. */
+  void setEra(long newEra) {
+    if (newEra != era) {
+      era = newEra;
+      rollouts.values().forEach(TrackedRollout::forgetRecorded);
+      statusKnown = false;
+    }
+  }
+
   /** Sets the failure domains whose servers get no requests, and so yield no evidence. */
   void setEvacuated(Set<String> failureDomains) {
     evacuated = failureDomains;
@@ -100,20 +104,21 @@
 
   void onEvidence(Map<VersionCounts.Key, VersionStats> newEvidence) {
     evidence = newEvidence;
-    for (RolloutStateMachine machine : machines.values()) {
-      machine.updateStats(OWN_SOURCE, ownEvidence(machine, true), ownEvidence(machine, false));
+    for (TrackedRollout rollout : rollouts.values()) {
+      rollout
+          .machine()
+          .updateStats(OWN_SOURCE, ownEvidence(rollout, true), ownEvidence(rollout, false));
     }
   }
 
-  private VersionStats ownEvidence(RolloutStateMachine machine, boolean target) {
+  private VersionStats ownEvidence(TrackedRollout rollout, boolean target) {
     VersionStats sum = VersionStats.NONE;
-    Map<VersionCounts.Key, VersionStats> start =
-        baselines.getOrDefault(machine.order().offset(), Map.of());
+    String targetVersion = rollout.machine().order().targetVersion();
     for (Map.Entry<VersionCounts.Key, VersionStats> entry : evidence.entrySet()) {
       VersionCounts.Key key = entry.getKey();
-      boolean same = key.service().equals(machine.order().service());
-      if (same && key.version().equals(machine.order().targetVersion()) == target) {
-        VersionStats old = start.getOrDefault(key, VersionStats.NONE);
+      boolean same = key.service().equals(rollout.service());
+      if (same && key.version().equals(targetVersion) == target) {
+        VersionStats old = rollout.baseline().getOrDefault(key, VersionStats.NONE);
         sum = sum.plus(entry.getValue().since(old));
       }
     }
@@ -121,22 +126,25 @@
   }
 
   void addTo(EdgeDigest.Builder digest, long now) {
-    for (RolloutStateMachine machine : machines.values()) {
+    for (TrackedRollout rollout : rollouts.values()) {
+      RolloutStateMachine machine = rollout.machine();
       RolloutStateMachine.Phase phase = machine.phase(now);
       boolean completed = phase == RolloutStateMachine.Phase.COMPLETED;
-      if (completed && now > outcomeSince(machine, now) + COMPLETION_DIGEST_MICROS) {
+      if (completed && now > rollout.outcomeSince(now) + COMPLETION_DIGEST_MICROS) {
         continue;
       }
       digest.addRollouts(
           RolloutDigest.newBuilder()
-              .setService(machine.order().service())
-              .setOrder(machine.order().offset())
+              .setService(rollout.service())
+              .setOrder(rollout.position().offset())
+              .setOrderEra(rollout.position().era())
               .setElapsedMillis(Math.max(0, machine.elapsedMicros(now) / 1_000))
               .setWithdrawn(phase == RolloutStateMachine.Phase.WITHDRAWN)
               .setStep(machine.step())
-              .setRecorded(hasRecordedOutcome(machine))
-              .setTarget(encode(ownEvidence(machine, true)))
-              .setRest(encode(ownEvidence(machine, false))));
+              .setRecorded(rollout.hasRecordedOutcome())
+              .setRecordedEra(era)
+              .setTarget(encode(ownEvidence(rollout, true)))
+              .setRest(encode(ownEvidence(rollout, false))));
     }
   }
 
@@ -162,23 +170,25 @@
   }
 
   void onDigest(EdgeDigest digest, long now) {
-    for (RolloutDigest rollout : digest.getRolloutsList()) {
-      RolloutStateMachine machine = machines.get(rollout.getService());
-      if (machine == null || machine.order().offset() != rollout.getOrder()) {
+    for (RolloutDigest received : digest.getRolloutsList()) {
+      TrackedRollout rollout = rollouts.get(received.getService());
+      LogPosition position = LogPosition.of(received.getOrderEra(), received.getOrder());
+      if (rollout == null || !rollout.isAt(position)) {
         continue;
       }
-      machine.extendElapsed(rollout.getElapsedMillis() * 1_000, now);
+      RolloutStateMachine machine = rollout.machine();
+      machine.extendElapsed(received.getElapsedMillis() * 1_000, now);
       // A restarted instance counts from zero under a new source; its earlier evidence is kept.
       String source = digest.getInstance() + "/" + digest.getStartedMillis();
-      machine.updateStats(source, decode(rollout.getTarget()), decode(rollout.getRest()));
-      machine.catchUp(rollout.getStep(), now);
-      if (rollout.getWithdrawn()) {
+      machine.updateStats(source, decode(received.getTarget()), decode(received.getRest()));
+      machine.catchUp(received.getStep(), now);
+      if (received.getWithdrawn()) {
         machine.rollBack();
       }
-      if (rollout.getRecorded()) {
-        setRecorded(
-            machine,
-            rollout.getWithdrawn()
+      // What a peer saw in an earlier era may be gone since.
+      if (received.getRecorded() && received.getRecordedEra() >= era) {
+        rollout.setRecorded(
+            received.getWithdrawn()
                 ? RolloutStatus.State.ROLLED_BACK
                 : RolloutStatus.State.COMPLETED);
       }
@@ -189,31 +199,16 @@
     Map<String, VersionRule> rules = new HashMap<>();
     for (BackendServer server : servers) {
       Set<String> known = knownVersions.getOrDefault(server.service(), Set.of());
-      if (!known.contains(server.softwareVersion()) && !machines.containsKey(server.service())) {
+      if (!known.contains(server.softwareVersion()) && !rollouts.containsKey(server.service())) {
         // A new version whose roll-out order has not been read yet must not receive requests.
         rules.put(server.service(), new VersionRule.Except(server.softwareVersion()));
       }
     }
-    machines.forEach((service, machine) -> rules.put(service, rule(service, machine, now)));
-    machines.values().forEach(machine -> logChange(machine, now));
+    rollouts.forEach((service, r) -> rules.put(service, rule(service, r.machine(), now)));
+    rollouts.values().forEach(r -> r.logProgress(now));
     return rules;
   }
 
-  private void logChange(RolloutStateMachine machine, long now) {
-    Progress progress = new Progress(machine.phase(now), machine.step());
-    if (!progress.equals(loggedProgress.put(machine.order().offset(), progress))) {
-      EdgeLog.event("rollout_progress")
-          .addKeyValue("service", machine.order().service())
-          .addKeyValue("order", machine.order().offset())
-          .addKeyValue("elapsed_ms", machine.elapsedMicros(now) / 1_000)
-          .addKeyValue("phase", progress.phase())
-          .addKeyValue("step", progress.step())
-          .addKeyValue("target", machine.targetStats())
-          .addKeyValue("others", machine.otherStats())
-          .log();
-    }
-  }
-
   /** Returns the rule in force, or one that can be met if no server of its version is left. */
   private VersionRule rule(String service, RolloutStateMachine machine, long now) {
     return switch (machine.rule(now)) {
@@ -250,7 +245,7 @@
 
   /** Reads the recorded status of the roll-outs and writes changed ones if it is the turn. */
   void syncStatus(Succession succession, long now) {
-    if (machines.isEmpty() || storeCallPending || now < nextSyncAt) {
+    if (rollouts.isEmpty() || storeCallPending || now < nextSyncAt) {
       return;
     }
     if (statusKnown && unrecordedStatuses(succession, now).isEmpty()) {
@@ -269,69 +264,49 @@
                     .log();
               } else {
                 readStatus(page.records(), Clock.micros());
-                writeStatus(page.nextOffset(), succession, Clock.micros());
+                writeStatus(page.next(), succession, Clock.micros());
               }
             });
   }
 
   private void readStatus(List<StoreRecord> records, long now) {
     Map<String, StoreRecord> byKey = StoreFollower.byKey(records);
-    for (RolloutStateMachine machine : machines.values()) {
-      StoreRecord record = byKey.get(RolloutStatus.key(machine.order().service()));
+    for (TrackedRollout rollout : rollouts.values()) {
+      StoreRecord record = byKey.get(RolloutStatus.key(rollout.service()));
       if (record != null && record.value().isPresent()) {
         StoreFollower.applyOrLog(
-            record, r -> adopt(machine, RolloutStatus.decode(r.value().get()), now));
+            record, r -> adopt(rollout, RolloutStatus.decode(r.value().get()), now));
       }
     }
     statusKnown = true;
   }
 
-  private void adopt(RolloutStateMachine machine, RolloutStatus status, long now) {
-    if (status.orderOffset() != machine.order().offset()) {
+  private static void adopt(TrackedRollout rollout, RolloutStatus status, long now) {
+    if (!rollout.isOf(status)) {
       return;
     }
-    startedMillis.put(status.orderOffset(), status.startedMillis());
-    setRecorded(machine, status.state());
+    rollout.setStartedMillis(status.startedMillis());
+    rollout.setRecorded(status.state());
     if (status.state() == RolloutStatus.State.RUNNING) {
-      machine.extendElapsed(
-          1_000 * Math.max(0, System.currentTimeMillis() - status.startedMillis()), now);
-    }
-  }
-
-  /** Takes over the state that the store has, also where the evidence here says otherwise. */
-  private void setRecorded(RolloutStateMachine machine, RolloutStatus.State state) {
-    recordedStates.put(machine.order().offset(), state);
-    switch (state) {
-      case RUNNING -> {}
-      case COMPLETED -> machine.markCompleted();
-      case ROLLED_BACK -> machine.rollBack();
+      long elapsedMillis = Math.max(0, System.currentTimeMillis() - status.startedMillis());
+      rollout.machine().extendElapsed(1_000 * elapsedMillis, now);
     }
   }
 
-  private boolean hasRecordedOutcome(RolloutStateMachine machine) {
-    RolloutStatus.State recorded = recordedStates.get(machine.order().offset());
-    return recorded != null && recorded != RolloutStatus.State.RUNNING;
-  }
-
-  /** Returns since when this instance has known the outcome, microseconds. */
-  private long outcomeSince(RolloutStateMachine machine, long now) {
-    return outcomeSince.computeIfAbsent(machine.order().offset(), offset -> now);
-  }
-
   private List<RolloutStatus> unrecordedStatuses(Succession succession, long now) {
     List<RolloutStatus> result = new ArrayList<>();
-    for (RolloutStateMachine machine : machines.values()) {
-      if (hasRecordedOutcome(machine)) {
+    for (TrackedRollout rollout : rollouts.values()) {
+      if (rollout.hasRecordedOutcome()) {
         continue;
       }
-      long number = machine.order().offset();
-      RolloutStatus.State state = state(machine, now);
+      RolloutStatus.State state = state(rollout.machine(), now);
       boolean isTurn =
           state == RolloutStatus.State.RUNNING
               ? succession.isFirst(now)
-              : succession.isTurn(outcomeSince(machine, now), now);
-      if (isTurn && recordedStates.get(number) != state) {
-        result.add(RolloutStatus.of(machine.order(), state, startedMillis.get(number)));
+              : succession.isTurn(rollout.outcomeSince(now), now);
+      if (isTurn && !rollout.isRecorded(state)) {
+        String target = rollout.machine().order().targetVersion();
+        result.add(new RolloutStatus(state, target, rollout.position(), rollout.startedMillis()));
       }
     }
     return result;
@@ -351,25 +326,26 @@
     };
   }
 
-  private void writeStatus(long end, Succession succession, long now) {
+  private void writeStatus(LogPosition end, Succession succession, long now) {
     Optional<RolloutStatus> first = unrecordedStatuses(succession, now).stream().findFirst();
     if (first.isEmpty()) {
       return;
     }
     RolloutStatus status = first.get();
-    String service = machine(status).map(m -> m.order().service()).orElseThrow();
+    String service = rollout(status).map(TrackedRollout::service).orElseThrow();
+    long writtenIn = era;
     storeCallPending = true;
     store
-        .put(STATUS_TOPIC, RolloutStatus.key(service), status.encode(), OptionalLong.of(end))
+        .put(STATUS_TOPIC, RolloutStatus.key(service), status.encode(), Optional.of(end))
         .whenComplete(
-            (offset, failure) -> {
+            (position, failure) -> {
               storeCallPending = false;
               EdgeLog.event("rollout_status")
                   .addKeyValue("service", service)
                   .addKeyValue("state", status.state())
                   .addKeyValue("written", failure == null)
                   .log();
-              if (failure == null) {
+              if (failure == null && writtenIn == era) {
                 onWritten(status);
               } else {
                 // The write may have succeeded all the same: the next read shows it.
@@ -380,12 +356,10 @@
 
   private void onWritten(RolloutStatus status) {
     // A newer order may have replaced this one since the write began.
-    machine(status).ifPresent(m -> setRecorded(m, status.state()));
+    rollout(status).ifPresent(r -> r.setRecorded(status.state()));
   }
 
-  private Optional<RolloutStateMachine> machine(RolloutStatus status) {
-    return machines.values().stream()
-        .filter(m -> m.order().offset() == status.orderOffset())
-        .findFirst();
+  private Optional<TrackedRollout> rollout(RolloutStatus status) {
+    return rollouts.values().stream().filter(r -> r.isAt(status.orderPosition())).findFirst();
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/ServerList.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ServerList.java
@@ -20,11 +20,20 @@
   /** Grace period: entries that expired during an outage are renewed within 2 s of its end. */
   private static final long EXPIRY_GRACE_MICROS = 2_200_000;
 
+  /** Time in which a living server renews its entry, and the store removes that of another. */
+  private static final long CONFIRMATION_MICROS = 10_000_000;
+
   /** Outages shorter than this are too short for an entry to expire. */
   private static final long MIN_OUTAGE_MICROS = 1_000_000;
 
   private final Map<String, BackendServer> servers = new HashMap<>();
   private final Map<String, Long> expiredUntil = new HashMap<>();
+  private final DepartedServers departed = DepartedServers.create();
+
+  /** Entries of a restored copy that contradict what was known. */
+  private final Map<String, BackendServer> unconfirmed = new HashMap<>();
+
+  private long unconfirmedUntil = Long.MIN_VALUE;
   private long graceUntil = Long.MIN_VALUE;
   private boolean changed;
 
@@ -36,7 +45,11 @@
 
   void onSnapshot(List<StoreRecord> records, long now) {
     Map<String, StoreRecord> listed = StoreFollower.byKey(records);
-    records.forEach(r -> apply(r, now));
+    if (now < unconfirmedUntil) {
+      records.forEach(r -> applyRestored(r, now));
+    } else {
+      records.forEach(r -> apply(r, now));
+    }
     for (String id : List.copyOf(servers.keySet())) {
       if (!listed.containsKey(id) || listed.get(id).value().isEmpty()) {
         remove(id, now);
@@ -44,6 +57,40 @@
     }
   }
 
+  /**
+   * Handles the first listing after the store has come back from an older copy.
+   *
+   * <p>Entries that the copy lacks are kept for the grace period, as after an outage. An entry of a
+   * server that has left, of an earlier process of a server, or from before a server began to drain
+   * names nobody until the server renews it, or until the store would have removed it.
+   */
+  void onRestored(List<StoreRecord> records, long now) {
+    extendGrace(now + EXPIRY_GRACE_MICROS);
+    unconfirmed.clear();
+    unconfirmedUntil = now + CONFIRMATION_MICROS;
+    onSnapshot(records, now);
+  }
+
+  private void applyRestored(StoreRecord record, long now) {
+    if (record.value().isPresent()) {
+      StoreFollower.applyOrLog(record, r -> putIfCurrent(r.key(), decode(r), now));
+    }
+  }
+
+  private void putIfCurrent(String id, BackendServer restored, long now) {
+    BackendServer known = servers.get(id);
+    boolean outdated =
+        known == null
+            ? departed.startedMillis(id, now) >= restored.startedMillis()
+            : restored.startedMillis() < known.startedMillis()
+                || (known.draining() && restored.isSameProcess(known));
+    if (outdated) {
+      unconfirmed.put(id, restored);
+    } else {
+      changed |= put(id, restored);
+    }
+  }
+
   /** Applies records, and returns all but those that only renew an entry. */
   List<StoreRecord> onChanges(List<StoreRecord> records, long now) {
     return records.stream().filter(r -> apply(r, now)).toList();
@@ -76,18 +123,23 @@
       return true;
     }
     AtomicBoolean differs = new AtomicBoolean();
-    StoreFollower.applyOrLog(record, r -> differs.set(put(r.key(), r.value().orElseThrow())));
+    StoreFollower.applyOrLog(record, r -> differs.set(put(r.key(), decode(r))));
     changed |= differs.get();
     return differs.get();
   }
 
-  private boolean put(String id, byte[] value) {
-    BackendServer server = BackendDecoder.decode(id, value);
+  private static BackendServer decode(StoreRecord record) {
+    return BackendDecoder.decode(record.key(), record.value().orElseThrow());
+  }
+
+  private boolean put(String id, BackendServer server) {
+    unconfirmed.remove(id);
     boolean wasExpired = expiredUntil.remove(id) != null;
     return !server.equals(servers.put(id, server)) || wasExpired;
   }
 
   private void remove(String id, long now) {
+    unconfirmed.remove(id);
     BackendServer server = servers.get(id);
     if (server == null) {
       return;
@@ -96,6 +148,7 @@
       expiredUntil.put(id, graceUntil);
     } else {
       servers.remove(id);
+      departed.add(server, now);
       changed = true;
     }
   }
@@ -108,11 +161,14 @@
             e -> {
               boolean expired = now >= e.getValue();
               if (expired) {
-                servers.remove(e.getKey());
+                departed.add(servers.remove(e.getKey()), now);
                 changed = true;
               }
               return expired;
             });
+    if (now >= unconfirmedUntil && !unconfirmed.isEmpty()) {
+      Map.copyOf(unconfirmed).forEach((id, server) -> changed |= put(id, server));
+    }
     if (!changed) {
       return Optional.empty();
     }
--- a/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StalenessMonitor.java
@@ -1,6 +1,7 @@
 package org.kumquatplank.edge;
 
-import java.util.OptionalLong;
+import java.util.Optional;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.link.proto.EdgeDigest;
 
 /**
@@ -60,17 +61,21 @@
   }
 
   /**
-   * Returns the offset of a peer that has had a newer configuration for a while, if this instance
+   * Returns the position of a peer that has had a newer configuration for a while, if this instance
    * is to catch up now.
    */
-  OptionalLong takeCatchUpOffset(long ownVersion, long now) {
+  Optional<LogPosition> takeCatchUpPosition(long ownVersion, long now) {
     update(ownVersion, now);
     boolean behind = behindSince != NOT_BEHIND && now - behindSince > CATCH_UP_AFTER_MICROS;
     if (!behind || now < nextCatchUpAt) {
-      return OptionalLong.empty();
+      return Optional.empty();
     }
     nextCatchUpAt = now + CATCH_UP_INTERVAL_MICROS;
-    return OptionalLong.of(newest.getOperatorOffset());
+    return Optional.of(peerPosition());
+  }
+
+  private LogPosition peerPosition() {
+    return LogPosition.of(newest.getOperatorEra(), newest.getOperatorOffset());
   }
 
   /**
@@ -97,7 +102,8 @@
 
   private void setTopicGauges(String topic, StoreFollower.Status status, long now) {
     String label = "{topic=\"" + topic + "\"}";
-    metrics.gauge("topic_offset" + label, status.nextOffset());
+    metrics.gauge("topic_era" + label, status.next().era());
+    metrics.gauge("topic_offset" + label, status.next().offset());
     metrics.gauge("topic_age_ms" + label, (now - status.confirmedAt()) / 1_000);
     metrics.gauge("topic_following" + label, status.following() ? 1 : 0);
   }
@@ -106,13 +112,13 @@
   private void report(long ownVersion, StoreFollower.Status operator, int livePeers, long now) {
     EdgeLog.event("behind")
         .addKeyValue("version", ownVersion)
-        .addKeyValue("offset", operator.nextOffset())
+        .addKeyValue("offset", operator.next())
         .addKeyValue("age_ms", (now - operator.confirmedAt()) / 1_000)
         .addKeyValue("following", operator.following())
         .addKeyValue("source", operator.lastSource())
         .addKeyValue("peer", newest.getInstance())
         .addKeyValue("peer_version", newest.getCatalogVersion())
-        .addKeyValue("peer_offset", newest.getOperatorOffset())
+        .addKeyValue("peer_offset", peerPosition())
         .addKeyValue("for_ms", (now - behindSince) / 1_000)
         .addKeyValue("live_peers", livePeers)
         .log();
--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicCursor;
 import org.kumquatplank.core.relay.TopicUpdate;
@@ -22,7 +23,8 @@
  *
  * <p>Changes are read from the store or received from the peer of the region that is elected to
  * read it. A gap in the received offsets is filled by reading; if the store no longer retains the
- * changes, a new snapshot is read. Confined to the control thread.
+ * changes, or has come back from an older copy, a new snapshot is read. Confined to the control
+ * thread.
  */
 final class StoreFollower {
   private static final long INITIAL_BACKOFF_MILLIS = 150;
@@ -46,7 +48,8 @@
   private final ReaderElection election;
   private final Listener listener;
   private final TopicCursor<StoreRecord> cursor =
-      TopicCursor.create(StoreRecord::offset, StoreRecord::key);
+      TopicCursor.create(StoreRecord::position, StoreRecord::key);
+  private LogPosition lastListed = LogPosition.unknownIn(LogPosition.NO_ERA);
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
   private long lastConfirmedAt = Clock.micros();
   private boolean failing;
@@ -75,17 +78,37 @@
   /**
    * How current this instance is in the topic.
    *
-   * @param nextOffset offset up to which all changes have been applied, or -1 before the snapshot
+   * @param next position up to which all changes have been applied; its offset is unknown before
+   *     the snapshot
    * @param confirmedAt when the last answer of the store or update of a peer arrived, microseconds
    * @param lastSource who delivered the last records: "store", or the name of a peer
    * @param following whether a peer reads the topic for this instance
    */
-  record Status(long nextOffset, long confirmedAt, String lastSource, boolean following) {}
+  record Status(LogPosition next, long confirmedAt, String lastSource, boolean following) {}
 
   /** Receives the records of the topic. */
   interface Listener {
-    /** Handles a snapshot with the newest record of each key, which may be a deletion. */
-    void onSnapshot(List<StoreRecord> records);
+    /**
+     * Handles a snapshot with the newest record of each key, which may be a deletion.
+     *
+     * @param end end of the log when the snapshot was read
+     */
+    void onSnapshot(List<StoreRecord> records, LogPosition end);
+
+    /**
+     * Called before the changes of a peer that has named a later era are applied.
+     *
+     * @param position a position of the new era
+     */
+    void onEraReplaced(LogPosition position);
+
+    /**
+     * Handles the first snapshot after the store has come back from an older copy; returns what
+     * peers need that are unable to read it.
+     *
+     * @param end end of the log when the snapshot was read
+     */
+    List<StoreRecord> onRestored(List<StoreRecord> records, LogPosition end);
 
     /**
      * Handles later records, in order; returns all but those that repeat the value of their key.
@@ -105,28 +128,28 @@
   }
 
   Status status() {
-    return new Status(cursor.nextOffset(), lastConfirmedAt, lastSource, following);
+    return new Status(cursor.next(), lastConfirmedAt, lastSource, following);
   }
 
   /**
    * Requests to read what this instance lacks, although a peer may be reading the topic for it.
    *
-   * <p>If this instance has reached the offset of the peer, a change was lost below it, and the
-   * topic is listed anew.
+   * <p>If this instance has reached the position of the peer, a change was lost below it, and the
+   * topic is listed anew; so it is if the position is of another era.
    *
-   * @param peerOffset offset of a peer that has a newer state
+   * @param peer position of a peer that has a newer state
    */
-  void requestCatchUp(long peerOffset) {
-    if (peerOffset > cursor.nextOffset()) {
+  void requestCatchUp(LogPosition peer) {
+    if (cursor.next().isBefore(peer)) {
       cursor.requestRead();
     } else if (!cursor.isListing()) {
       listingRequested = true;
     }
   }
 
-  /** Returns whether the change at that offset needs no further handling here. */
-  boolean hasApplied(long offset) {
-    return offset < cursor.nextOffset() && !cursor.isListing();
+  /** Returns whether the change at that position needs no further handling here. */
+  boolean hasApplied(LogPosition position) {
+    return position.isBefore(cursor.next()) && !cursor.isListing();
   }
 
   /** Sets the names of the live peers that may read the topic for this instance. */
@@ -157,19 +180,42 @@
               }
               onReadSucceeded();
               lastSource = STORE_SOURCE;
-              TopicUpdate<StoreRecord> listed =
-                  new TopicUpdate<>(page.nextOffset(), page.nextOffset(), page.records());
-              runLoggingFailures(() -> listener.onSnapshot(cursor.onListed(listed)));
+              runLoggingFailures(
+                  () -> onListed(new TopicUpdate<>(page.next(), page.next(), page.records())));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
   }
 
+  /** A listing of an earlier era than a peer has named is dropped, and read again. */
+  private void onListed(TopicUpdate<StoreRecord> listed) {
+    Optional<List<StoreRecord>> newest = cursor.onListed(listed);
+    if (newest.isEmpty()) {
+      return;
+    }
+    LogPosition before = lastListed;
+    lastListed = listed.next();
+    if (!before.isKnown() || before.isInEraOf(lastListed)) {
+      listener.onSnapshot(newest.get(), lastListed);
+      return;
+    }
+    EdgeLog.event("store_restored")
+        .addKeyValue("topic", topic.name())
+        .addKeyValue("before", before)
+        .addKeyValue("end", lastListed)
+        .addKeyValue("records", newest.get().size())
+        .log();
+    List<StoreRecord> news = listener.onRestored(newest.get(), lastListed);
+    if (election.isReader(Clock.micros())) {
+      listener.onConfirmed(new TopicUpdate<>(lastListed, lastListed, news));
+    }
+  }
+
   private void readIfElected() {
     boolean reader = election.isReader(Clock.micros());
     if (reader && following) {
       setFollowing(false, STORE_SOURCE);
     }
-    if (listingRequested) {
+    if (listingRequested || cursor.needsListing()) {
       readSnapshot();
     } else if (cursor.hasGap() || reader) {
       read();
@@ -184,20 +230,20 @@
     EdgeLog.event("topic_source")
         .addKeyValue("topic", topic.name())
         .addKeyValue("source", source)
-        .addKeyValue("offset", cursor.nextOffset())
+        .addKeyValue("offset", cursor.next())
         .addKeyValue("age_ms", (now - lastConfirmedAt) / 1_000)
         .log();
   }
 
   private void read() {
-    long from = cursor.beginRead();
+    LogPosition from = cursor.beginRead();
     store
         .read(topic.name(), from, topic.waitMillis())
         .whenComplete(
             (page, failure) -> {
               if (failure != null) {
                 cursor.onReadFailed();
-                boolean mustList = isBeyondRetention(failure);
+                boolean mustList = requiresListing(failure);
                 onReadFailed(
                     failure,
                     mustList ? this::readSnapshot : this::readIfElected,
@@ -205,8 +251,7 @@
                 return;
               }
               onReadSucceeded();
-              TopicUpdate<StoreRecord> read =
-                  new TopicUpdate<>(from, page.nextOffset(), page.records());
+              TopicUpdate<StoreRecord> read = new TopicUpdate<>(from, page.next(), page.records());
               runLoggingFailures(() -> onRead(read));
               loop.schedule(this::readIfElected, topic.pauseMillis(), TimeUnit.MILLISECONDS);
             });
@@ -214,9 +259,9 @@
 
   /** Peers receive the updates of the reader; others only read what they lack themselves. */
   private void onRead(TopicUpdate<StoreRecord> read) {
-    TopicUpdate<StoreRecord> update = cursor.onRead(read, r -> apply(r, STORE_SOURCE));
-    if (election.isReader(Clock.micros())) {
-      listener.onConfirmed(update);
+    Optional<TopicUpdate<StoreRecord>> update = cursor.onRead(read, r -> apply(r, STORE_SOURCE));
+    if (update.isPresent() && election.isReader(Clock.micros())) {
+      listener.onConfirmed(update.get());
     }
   }
 
@@ -230,9 +275,12 @@
    * the store.
    */
   void onUpdate(String sender, TopicUpdate<StoreRecord> update, long confirmedAt) {
+    if (lastListed.isKnown() && cursor.next().isReplacedBy(update.next())) {
+      listener.onEraReplaced(update.next());
+    }
     AtomicBoolean applied = new AtomicBoolean();
     runLoggingFailures(() -> applied.set(cursor.onUpdate(update, r -> apply(r, sender))));
-    boolean outdated = update.next() < cursor.nextOffset();
+    boolean outdated = update.next().isBefore(cursor.next());
     if (!applied.get() || outdated) {
       return;
     }
@@ -246,8 +294,8 @@
     lastConfirmedAt = Math.max(lastConfirmedAt, confirmedAt);
   }
 
-  private static boolean isBeyondRetention(Throwable failure) {
-    return unwrap(failure) instanceof StoreException e && e.isBeyondRetention();
+  private static boolean requiresListing(Throwable failure) {
+    return unwrap(failure) instanceof StoreException e && e.requiresListing();
   }
 
   private static Throwable unwrap(Throwable failure) {
@@ -290,7 +338,7 @@
    * @param peersAhead number of live peers that try before this instance
    */
   private void onReadFailed(Throwable failure, Runnable retry, int peersAhead) {
-    if (!failing && !isBeyondRetention(failure)) {
+    if (!failing && !requiresListing(failure)) {
       failing = true;
       EdgeLog.event("store_lost")
           .addKeyValue("topic", topic.name())
@@ -316,7 +364,7 @@
     } catch (RuntimeException e) {
       EdgeLog.event("unreadable_record")
           .addKeyValue("key", record.key())
-          .addKeyValue("offset", record.offset())
+          .addKeyValue("offset", record.position())
           .addKeyValue("problem", String.valueOf(e.getMessage()))
           .log();
     }
--- a/edge/src/main/java/org/kumquatplank/edge/TopicUpdates.java
+++ b/edge/src/main/java/org/kumquatplank/edge/TopicUpdates.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.kumquatplank.core.relay.ChangeBuffer;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.RelayedRecord;
 import org.kumquatplank.link.proto.TopicRelay;
@@ -54,13 +55,14 @@
         TopicRelay.newBuilder()
             .setSender(self)
             .setTopic(topic)
-            .setFrom(span.from())
-            .setNext(span.next())
+            .setEra(span.next().era())
+            .setFrom(span.from().offset())
+            .setNext(span.next().offset())
             .setGraceMillis(graceUntil <= now ? 0 : (graceUntil - now) / MICROS_PER_MILLI);
     for (StoreRecord record : span.changes()) {
       message.addRecords(
           RelayedRecord.newBuilder()
-              .setOffset(record.offset())
+              .setOffset(record.position().offset())
               .setKey(record.key())
               .setValue(record.value().map(ValueCompression::compress).orElse(ByteString.EMPTY)));
     }
@@ -75,14 +77,18 @@
     }
     List<StoreRecord> records =
         message.getRecordsList().stream()
-            .filter(r -> !follower.hasApplied(r.getOffset()))
-            .map(r -> new StoreRecord(r.getOffset(), r.getKey(), value(r)))
+            .filter(r -> !follower.hasApplied(position(message, r)))
+            .map(r -> new StoreRecord(position(message, r), r.getKey(), value(r)))
             .toList();
     TopicUpdate<StoreRecord> update =
-        new TopicUpdate<>(message.getFrom(), message.getNext(), records);
+        TopicUpdate.of(message.getEra(), message.getFrom(), message.getNext(), records);
     follower.onUpdate(message.getSender(), update, now);
   }
 
+  private static LogPosition position(TopicRelay message, RelayedRecord record) {
+    return LogPosition.of(message.getEra(), record.getOffset());
+  }
+
   private static Optional<byte[]> value(RelayedRecord record) {
     return record.getValue().isEmpty()
         ? Optional.empty()
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import net.jqwik.api.Example;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.RelayedRecord;
@@ -40,10 +41,19 @@
         Collections.synchronizedList(new ArrayList<>());
 
     @Override
-    public void onSnapshot(List<StoreRecord> records) {
+    public void onSnapshot(List<StoreRecord> records, LogPosition end) {
       snapshots.add(records);
     }
 
+    @Override
+    public void onEraReplaced(LogPosition position) {}
+
+    @Override
+    public List<StoreRecord> onRestored(List<StoreRecord> records, LogPosition end) {
+      snapshots.add(records);
+      return records;
+    }
+
     @Override
     public List<StoreRecord> onChanges(List<StoreRecord> records) {
       records.forEach(
@@ -86,7 +96,7 @@
     }
 
     void receive(String sender, long from, long next, StoreRecord... records) {
-      TopicUpdate<StoreRecord> update = new TopicUpdate<>(from, next, List.of(records));
+      TopicUpdate<StoreRecord> update = TopicUpdate.of(0, from, next, List.of(records));
       loop.submit(() -> follower.onUpdate(sender, update, Clock.micros())).syncUninterruptibly();
     }
 
@@ -99,7 +109,7 @@
 
   private static StoreRecord record(long offset, String key, String value) {
     byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
-    return new StoreRecord(offset, key, Optional.of(bytes));
+    return new StoreRecord(LogPosition.of(0, offset), key, Optional.of(bytes));
   }
 
   private static void await(BooleanSupplier condition) {
@@ -198,10 +208,10 @@
     try (Fixture f = new Fixture()) {
       f.receive("a", 0, 0);
       f.store.put("t", "k", "1");
-      f.loop.submit(() -> f.follower.requestCatchUp(1)).syncUninterruptibly();
+      f.loop.submit(() -> f.follower.requestCatchUp(LogPosition.of(0, 1))).syncUninterruptibly();
       await(() -> f.listener.changes.contains("k=1"));
       f.loop.submit(() -> {}).syncUninterruptibly();
-      assertThat(f.listener.confirmed).noneMatch(u -> u.next() > 0);
+      assertThat(f.listener.confirmed).noneMatch(u -> u.next().offset() > 0);
     }
   }
 
@@ -224,8 +234,8 @@
               .filter(t -> !t.changes().isEmpty())
               .findFirst()
               .orElseThrow();
-      assertThat(update.from()).isZero();
-      assertThat(update.next()).isEqualTo(1);
+      assertThat(update.from()).isEqualTo(LogPosition.of(0, 0));
+      assertThat(update.next()).isEqualTo(LogPosition.of(0, 1));
       assertThat(update.changes().get(0).key()).isEqualTo("k");
     }
   }
@@ -238,10 +248,13 @@
       await(() -> f.client.requestCount() == 2);
       f.receive("z", 0, 1, record(0, "k", "revoked"));
       f.store.put("t", "k", "revoked");
-      await(() -> f.listener.confirmed.stream().anyMatch(u -> u.next() > 0));
+      await(() -> f.listener.confirmed.stream().anyMatch(u -> u.next().offset() > 0));
       TopicUpdate<StoreRecord> update =
-          f.listener.confirmed.stream().filter(u -> u.next() > 0).findFirst().orElseThrow();
-      assertThat(update.from()).isZero();
+          f.listener.confirmed.stream()
+              .filter(u -> u.next().offset() > 0)
+              .findFirst()
+              .orElseThrow();
+      assertThat(update.from()).isEqualTo(LogPosition.of(0, 0));
       assertThat(update.changes()).extracting(StoreRecord::key).containsExactly("k");
       assertThat(f.listener.changes).containsExactly("k=revoked");
     }
@@ -266,7 +279,7 @@
     try (Fixture f = new Fixture()) {
       f.receive("a", 0, 1);
       f.store.put("t", "k", "revoked");
-      f.loop.submit(() -> f.follower.requestCatchUp(1)).syncUninterruptibly();
+      f.loop.submit(() -> f.follower.requestCatchUp(LogPosition.of(0, 1))).syncUninterruptibly();
       await(() -> f.listener.snapshots.size() == 2);
       assertThat(f.listener.snapshots.get(1)).extracting(StoreRecord::key).containsExactly("k");
     }
@@ -277,7 +290,7 @@
     try (Fixture f = new Fixture()) {
       f.receive("a", 0, 0);
       f.store.put("t", "k", "revoked");
-      f.loop.submit(() -> f.follower.requestCatchUp(1)).syncUninterruptibly();
+      f.loop.submit(() -> f.follower.requestCatchUp(LogPosition.of(0, 1))).syncUninterruptibly();
       await(() -> f.listener.changes.contains("k=revoked"));
     }
   }
@@ -297,8 +310,8 @@
   void testUpdateThatIsOlderThanTheStateDoesNotConfirmIt() throws IOException {
     try (Fixture f = new Fixture()) {
       TopicUpdate<StoreRecord> newer =
-          new TopicUpdate<>(0, 2, List.of(record(0, "k", "1"), record(1, "k", "2")));
-      TopicUpdate<StoreRecord> older = new TopicUpdate<>(0, 1, List.of(record(0, "k", "1")));
+          TopicUpdate.of(0, 0, 2, List.of(record(0, "k", "1"), record(1, "k", "2")));
+      TopicUpdate<StoreRecord> older = TopicUpdate.of(0, 0, 1, List.of(record(0, "k", "1")));
       long now = Clock.micros();
       AtomicLong confirmedAt = new AtomicLong();
       f.loop
@@ -312,4 +325,23 @@
       assertThat(confirmedAt.get()).isEqualTo(now);
     }
   }
+
+  /** Guards against a topic that stands still for an instance that does not read it. */
+  @Example
+  void testTopicIsListedAnewWhenAPeerNamesALaterEra() throws IOException {
+    try (Fixture f = new Fixture()) {
+      f.receive("a", 0, 1, record(0, "k", "1"));
+      f.store.setEra(1);
+      f.store.put("t", "k", "2");
+      StoreRecord sent = new StoreRecord(LogPosition.of(1, 0), "k", Optional.of(new byte[] {'2'}));
+      TopicUpdate<StoreRecord> update = TopicUpdate.of(1, 0, 1, List.of(sent));
+      f.loop.submit(() -> f.follower.onUpdate("a", update, Clock.micros())).syncUninterruptibly();
+      assertThat(f.listener.changes).containsExactly("k=1", "k=2");
+      await(() -> f.listener.snapshots.size() == 2);
+      await(
+          () -> f.loop.submit(f.follower::status).syncUninterruptibly().getNow().next().isKnown());
+      assertThat(f.loop.submit(f.follower::status).syncUninterruptibly().getNow().next())
+          .isEqualTo(LogPosition.of(1, 1));
+    }
+  }
 }
--- a/edge/src/test/java/org/kumquatplank/edge/TopicUpdatesTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/TopicUpdatesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Example;
+import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.TopicUpdate;
 import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreRecord;
@@ -14,7 +15,8 @@
   private static final int MAX_BYTES = 4_000;
 
   private static StoreRecord record(long offset, String value) {
-    return new StoreRecord(offset, "config", Optional.of(value.getBytes(StandardCharsets.UTF_8)));
+    return new StoreRecord(
+        LogPosition.of(0, offset), "config", Optional.of(value.getBytes(StandardCharsets.UTF_8)));
   }
 
   @Example
@@ -24,7 +26,7 @@
     TopicRelay message = null;
     for (int i = 0; i < 6; i++) {
       List<StoreRecord> changed = List.of(record(5 + i, largeValue + i));
-      message = updates.messageAfterRead(new TopicUpdate<>(5 + i, 6 + i, changed), 0, MAX_BYTES, i);
+      message = updates.messageAfterRead(TopicUpdate.of(0, 5 + i, 6 + i, changed), 0, MAX_BYTES, i);
     }
     assertThat(message.getFrom()).isEqualTo(5);
     assertThat(message.getNext()).isEqualTo(11);
@@ -38,7 +40,7 @@
   @Example
   void testMessageStatesTheRemainingGracePeriod() {
     TopicUpdates updates = new TopicUpdates("a", "servers");
-    TopicUpdate<StoreRecord> update = new TopicUpdate<>(0, 1, List.of());
+    TopicUpdate<StoreRecord> update = TopicUpdate.of(0, 0, 1, List.of());
     assertThat(updates.messageAfterRead(update, 3_000_000, MAX_BYTES, 1_000_000).getGraceMillis())
         .isEqualTo(2_000);
     assertThat(
--- a/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeStore.java
+++ b/testkit/src/main/java/org/kumquatplank/testkit/fleet/FakeStore.java
@@ -23,7 +23,8 @@
  * Stand-in for the platform's store, which consists of the keyed topics of its log.
  *
  * <p>Thread-safe. Faults are injected by {@link #setFault}; {@link #forgetHistory} makes reads from
- * old offsets fail.
+ * old offsets fail, and {@link #restore} brings the store back from an older copy. The store names
+ * its era from the first call of {@link #setEra} or {@link #restore} on.
  */
 public final class FakeStore implements AutoCloseable {
   private static final int OK = 200;
@@ -31,11 +32,13 @@
   private static final int CONDITION_FAILED = 412;
   private static final int UNAVAILABLE = 503;
   private static final int KEY_LENGTH_BYTES = 1;
+  private static final String ERA_HEADER = "Store-Era";
 
   private final HttpServer server;
   private final Map<String, Topic> topics = new HashMap<>();
   private Fault fault = Fault.NONE;
   private int failedListings;
+  private long era;
 
   private FakeStore(HttpServer server) {
     this.server = server;
@@ -59,6 +62,15 @@
     private int firstOffset;
   }
 
+  /** Ends of all topics at a moment, to which {@link #restore} cuts them. */
+  public static final class Copy {
+    private final Map<String, Integer> ends;
+
+    private Copy(Map<String, Integer> ends) {
+      this.ends = Map.copyOf(ends);
+    }
+  }
+
   /** Opens a store on a free port. */
   public static FakeStore open(String host) throws IOException {
     HttpServer server = HttpServer.create(new InetSocketAddress(host, 0), 0);
@@ -111,6 +123,44 @@
     topic(topic).firstOffset = topic(topic).records.size();
   }
 
+  /** Sets the era that all responses name from now on. */
+  public synchronized void setEra(long newEra) {
+    era = newEra;
+    notifyAll();
+  }
+
+  /** Returns a copy of the present state for {@link #restore}. */
+  public synchronized Copy copy() {
+    Map<String, Integer> ends = new HashMap<>();
+    topics.forEach((name, topic) -> ends.put(name, topic.records.size()));
+    return new Copy(ends);
+  }
+
+  /**
+   * Returns to an earlier state and begins a new era: later records are gone, and their offsets are
+   * assigned again.
+   *
+   * @return the records of each topic that are gone, oldest first
+   */
+  public synchronized Map<String, List<byte[]>> restore(Copy copy) {
+    Map<String, List<byte[]>> lost = new HashMap<>();
+    topics.forEach(
+        (name, topic) -> {
+          int end = copy.ends.getOrDefault(name, 0);
+          List<byte[]> tail = topic.records.subList(end, topic.records.size());
+          lost.put(name, List.copyOf(tail));
+          tail.clear();
+          topic.firstOffset = Math.min(topic.firstOffset, end);
+        });
+    setEra(era + 1);
+    return lost;
+  }
+
+  /** Appends records again that {@link #restore} returned, as their writers do. */
+  public synchronized void rewrite(String topic, Map<String, List<byte[]>> lost) {
+    lost.getOrDefault(topic, List.of()).forEach(record -> append(topic, record));
+  }
+
   private static byte[] encodeRecord(String key, byte[] value) {
     byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
     return ByteBuffer.allocate(KEY_LENGTH_BYTES + keyBytes.length + value.length)
@@ -139,6 +189,9 @@
       if (response.lost()) {
         return;
       }
+      if (response.era() > 0) {
+        exchange.getResponseHeaders().set(ERA_HEADER, Long.toString(response.era()));
+      }
       exchange.sendResponseHeaders(response.status(), response.body().remaining());
       byte[] bytes = new byte[response.body().remaining()];
       response.body().get(bytes);
@@ -148,10 +201,14 @@
     }
   }
 
-  /** A response, which is dropped if {@code lost} is set. */
-  private record Response(int status, ByteBuffer body, boolean lost) {
+  /** A response of an era, which is dropped if {@code lost} is set. */
+  private record Response(int status, ByteBuffer body, long era, boolean lost) {
     static Response of(int status, String json) {
-      return new Response(status, ByteBuffer.wrap(json.getBytes(StandardCharsets.UTF_8)), false);
+      return new Response(status, ByteBuffer.wrap(json.getBytes(StandardCharsets.UTF_8)), 0, false);
+    }
+
+    Response inEra(long newEra, boolean isLost) {
+      return new Response(status, body, newEra, isLost);
     }
   }
 
@@ -168,6 +225,12 @@
 
   private synchronized Response respond(String path, Map<String, String> query, byte[] body)
       throws IOException, InterruptedException {
+    Response response = respondWithoutEra(path, query, body);
+    return response.inEra(era, fault == Fault.ANSWERS_LOST);
+  }
+
+  private Response respondWithoutEra(String path, Map<String, String> query, byte[] body)
+      throws IOException, InterruptedException {
     if (fault == Fault.DOWN) {
       return Response.of(UNAVAILABLE, "{}");
     }
@@ -176,14 +239,12 @@
       return Response.of(UNAVAILABLE, "{}");
     }
     String topic = query.get("topic").substring("keyed.".length());
-    Response response =
-        switch (path) {
-          case "/log-append" -> appendAll(topic, query, body);
-          case "/log-read" -> read(topic, query);
-          case "/log-newest" -> newestPage(topic);
-          default -> Response.of(404, "{}");
-        };
-    return fault == Fault.ANSWERS_LOST ? new Response(0, response.body(), true) : response;
+    return switch (path) {
+      case "/log-append" -> appendAll(topic, query, body);
+      case "/log-read" -> read(topic, query);
+      case "/log-newest" -> newestPage(topic);
+      default -> Response.of(404, "{}");
+    };
   }
 
   private Response appendAll(String topic, Map<String, String> query, byte[] body) {
@@ -202,18 +263,31 @@
     return Response.of(OK, "{\"offset\":" + offset + ",\"end\":" + log.records.size() + "}");
   }
 
+  /** Returns whether a store that names its era doesn't have an offset. */
+  private boolean isLost(Topic log, int offset) {
+    return era > 0 && offset > log.records.size();
+  }
+
   private Response read(String topic, Map<String, String> query)
       throws IOException, InterruptedException {
     Topic log = topic(topic);
     int from = Integer.parseInt(query.get("from"));
+    long begunIn = era;
     long endMillis =
         System.nanoTime() / 1_000_000 + Long.parseLong(query.getOrDefault("wait_ms", "0"));
     long remainingMillis = endMillis - System.nanoTime() / 1_000_000;
-    while (from >= log.records.size() && remainingMillis > 0 && fault == Fault.NONE) {
+    while (from >= log.records.size()
+        && !isLost(log, from)
+        && remainingMillis > 0
+        && fault == Fault.NONE
+        && era == begunIn) {
       wait(remainingMillis);
       remainingMillis = endMillis - System.nanoTime() / 1_000_000;
     }
-    if (from < log.firstOffset) {
+    if (era != begunIn) {
+      return Response.of(UNAVAILABLE, "{}");
+    }
+    if (from < log.firstOffset || isLost(log, from)) {
       return Response.of(GONE, "{\"first\":" + log.firstOffset + "}");
     }
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
@@ -224,7 +298,7 @@
       out.writeInt(log.records.get(i).length);
       out.write(log.records.get(i));
     }
-    return new Response(OK, ByteBuffer.wrap(bytes.toByteArray()), false);
+    return new Response(OK, ByteBuffer.wrap(bytes.toByteArray()), 0, false);
   }
 
   private static Map<String, byte[]> newestByKey(Topic log) {
