Restore the store from copies in the soak test

Change: restores are one of the random faults, from copies that are up to some seconds old, and the operator and the backend servers write again what is lost. A phase after the faults removes routes and restores the store: once, twice within a second, and so that the log has its old length with another configuration. A removed route may not be served after 3 s, nor come back.

--- a/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/EdgeSoak.java
@@ -35,7 +35,8 @@
 
 /**
  * Soak test: three instances as processes, fault proxies before the store and the backend servers,
- * callers that send without a pause, and a random series of faults.
+ * callers that send without a pause, and a random series of faults. The store is restored from
+ * copies among them, and afterwards while routes are removed.
  *
  * <p>To run by hand: {@code EdgeSoak FIRST_SEED SEEDS MILLIS}. Kills only processes that it
  * started.
@@ -60,9 +61,12 @@
   private final long seed;
   private final Random random;
   private final FakeStore store = FakeStore.open("127.0.0.1");
+  private final StoreDrill drill;
   private final FaultProxy storeProxy = FaultProxy.open(store.address());
   private final List<FaultProxy> backendProxies = new ArrayList<>();
   private final List<FakeBackendServer> backends = new ArrayList<>();
+  private final List<String> entries = new ArrayList<>();
+  private final Set<String> endedIds = ConcurrentHashMap.newKeySet();
   private final Process[] instances = new Process[INSTANCES];
   private final int firstPort;
   private final Map<String, AtomicInteger> runCounts = new ConcurrentHashMap<>();
@@ -80,6 +84,7 @@
     this.seed = seed;
     this.random = new Random(seed);
     this.firstPort = freePorts();
+    this.drill = StoreDrill.create(store, random, this::rewriteServers);
   }
 
   /**
@@ -127,7 +132,7 @@
   }
 
   private Result runFaults(long millis) throws IOException, InterruptedException {
-    store.put("op", "config", catalog());
+    store.put("op", "config", catalog(1, List.of()));
     for (int i = 0; i < BACKENDS; i++) {
       String id = "i-" + i;
       FakeBackendServer backend = FakeBackendServer.open("127.0.0.1", id, this::behave);
@@ -137,13 +142,17 @@
       int port = Integer.parseInt(entry.substring(colon, entry.indexOf('"', colon)));
       FaultProxy proxy = FaultProxy.open(new InetSocketAddress(LOOPBACK, port));
       backendProxies.add(proxy);
-      store.put("servers", id, entry.replace("127.0.0.1:" + port, proxy.address()));
+      entries.add(entry.replace("127.0.0.1:" + port, proxy.address()));
+      store.put("servers", id, entries.get(i));
+      int index = i;
       backend.onRestart(
           endedId -> {
+            endedIds.add(endedId);
             store.drop("servers", endedId);
-            store.put("servers", backend.id(), entry.replace("127.0.0.1:" + port, proxy.address()));
+            store.put("servers", backend.id(), entries.get(index));
           });
     }
+    drill.takeCopy();
     for (int i = 0; i < INSTANCES; i++) {
       start(i);
     }
@@ -165,18 +174,27 @@
     }
     int[] entryPorts = new int[INSTANCES];
     Arrays.setAll(entryPorts, i -> firstPort + i * PORTS_EACH + 2);
+    violations.addAll(RestorePhase.create(store, drill, EdgeSoak::catalog, entryPorts).run());
     try (SegmentCrashPhase crashes = SegmentCrashPhase.open(store, entryPorts)) {
       violations.addAll(crashes.run());
     }
     return new Result(List.copyOf(violations), served.get(), notices.notices());
   }
 
-  private static String catalog() {
+  /** Returns the configuration of a version, with more routes by name. */
+  private static String catalog(int version, List<String> moreRoutes) {
     String route =
         "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/%s/\",\"kind\":\"%s\","
             + "\"timeout_ms\":2000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"pool\","
             + "\"max_attempts\":%d}";
-    return "{\"version\":1,\"routes\":["
+    StringBuilder more = new StringBuilder();
+    for (String name : moreRoutes) {
+      more.append(String.format(Locale.ROOT, route, name, name, "safe", 3)).append(',');
+    }
+    return "{\"version\":"
+        + version
+        + ",\"routes\":["
+        + more
         + String.format(Locale.ROOT, route, "read", "read", "safe", 3)
         + ","
         + String.format(Locale.ROOT, route, "order", "order", "unsafe", 2)
@@ -245,6 +263,14 @@
     }
   }
 
+  /** Lists all living backend servers again, and none that has ended. */
+  private void rewriteServers() {
+    for (int i = 0; i < BACKENDS; i++) {
+      store.put("servers", backends.get(i).id(), entries.get(i));
+    }
+    endedIds.forEach(id -> store.drop("servers", id));
+  }
+
   private void start(int index) throws IOException {
     int port = firstPort + index * PORTS_EACH;
     String settings =
@@ -286,7 +312,10 @@
     int index = random.nextInt(INSTANCES);
     int backend = random.nextInt(BACKENDS);
     FaultProxy proxy = backendProxies.get(backend);
-    switch (random.nextInt(10)) {
+    if (random.nextInt(3) == 0) {
+      drill.takeCopy();
+    }
+    switch (random.nextInt(11)) {
       case 0 -> restart(index, "KILL");
       case 1 -> restart(index, "TERM");
       case 2 -> freeze(index);
@@ -301,6 +330,7 @@
       case 6 -> cut(backend, FaultProxy.Mode.ONE_WAY);
       case 7 -> cut(backend, FaultProxy.Mode.DELAY);
       case 8 -> store.setFault(FakeStore.Fault.DOWN);
+      case 9 -> drill.restoreAndRewrite();
       default -> storeProxy.setMode(FaultProxy.Mode.SILENT);
     }
     if (random.nextBoolean()) {
