End a process that can't listen

Cause: an exception in main left the event loops running, so that an instance whose address was in use lived without that listener and never read the store.

Change: a failed start prints why and exits with status 3.

--- a/edge/src/main/java/org/kumquatplank/edge/EdgeMain.java
+++ b/edge/src/main/java/org/kumquatplank/edge/EdgeMain.java
@@ -15,10 +15,14 @@
 public final class EdgeMain {
   private static final String SETTINGS_VARIABLE = "KUMQUATPLANK_NODE_FILE";
   private static final int EXIT_BAD_SETTINGS = 2;
+  private static final int EXIT_START_FAILED = 3;
 
   private EdgeMain() {}
 
-  /** Runs until a signal stops the process; exits with status 2 if the settings can't be read. */
+  /**
+   * Runs until a signal stops the process; exits with status 2 if the settings can't be read, and
+   * with 3 if the process can't listen.
+   */
   public static void main(String[] arguments) {
     HangUpSignal hangUpSignal = HangUpSignal.register();
     EdgeSettings settings;
@@ -36,8 +40,16 @@
     EventLoop controlLoop = newEventLoop("control");
     DataPlane dataPlane = new DataPlane(settings, options, trafficLoop);
     ControlPlane control = new ControlPlane(settings, startedMillis, controlLoop, dataPlane);
-    dataPlane.start(control::onReport);
-    control.start();
+    try {
+      dataPlane.start(control::onReport);
+      control.start();
+    } catch (Exception e) {
+      // Such as an address in use, which Netty throws undeclared. Other threads would keep the
+      // process alive without a listener.
+      System.err.println("kumquatplank: can't start: " + e);
+      System.exit(EXIT_START_FAILED);
+      return;
+    }
     hangUpSignal.setAction(() -> controlLoop.execute(() -> reload(control)));
     Runtime.getRuntime()
         .addShutdownHook(
