Take free ports below the ephemeral range in CallerCrowdTest

Change: 300 ranges of 8 ports, up to 32,400; all ports of a range have to be free. The checks of the test are unchanged.

--- a/edge/src/test/java/org/kumquatplank/edge/soak/LimitedInstance.java
+++ b/edge/src/test/java/org/kumquatplank/edge/soak/LimitedInstance.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Function;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.kumquatplank.testkit.fleet.FakeBackendServer;
 import org.kumquatplank.testkit.fleet.FakeBackendServer.Behaviour;
@@ -36,7 +37,11 @@
   static final int MAX_BODY_BYTES = 1024 * 1024;
   static final int MAX_HEAD_BYTES = 16 * 1024;
   private static final int LARGE_RESPONSE_BYTES = 256 * 1024;
+
+  /** The range ends below the ephemeral ports, which any outgoing connection may take. */
   private static final int FIRST_PORT = 30_000;
+
+  private static final int RANGES = 300;
   private static final int PORTS = 8;
   private static final int READ_TIMEOUT_MILLIS = 3_000;
   private static final int ATTEMPTS = 8;
@@ -105,15 +110,22 @@
   }
 
   private static int freePorts() throws IOException {
-    int port = FIRST_PORT + (int) (ProcessHandle.current().pid() % 1_000) * PORTS;
-    while (true) {
-      try (ServerSocket socket = new ServerSocket(port)) {
-        return socket.getLocalPort();
-      } catch (IOException e) {
-        // The port is in use; try the next range.
-        port += PORTS;
+    int first = (int) (ProcessHandle.current().pid() % RANGES);
+    for (int i = 0; i < RANGES; i++) {
+      int port = FIRST_PORT + (first + i) % RANGES * PORTS;
+      if (IntStream.range(port, port + PORTS).allMatch(LimitedInstance::isFree)) {
+        return port;
       }
     }
+    throw new IOException("no free ports from " + FIRST_PORT);
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port)) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
   }
 
   private Process start(String name, int heapMegabytes) throws IOException {
