Offer a configuration that a restored store lacks

Cause: an instance that starts while the store lacks the newest configuration takes the older one, and a revoked key runs there until the operator writes again.

Change: CatalogState holds the newest configuration. The first live instance by name that has it offers it once a second to a peer that has read all that the store has, in the same era, and names an older version. Nothing is offered where the store doesn't name its era. A status counts as recorded only if the store's response is of the era of the listing before it; the first era that is seen makes no instance read statuses.

--- a/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
+++ b/edge/src/main/java/org/kumquatplank/edge/ControlPlane.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.kumquatplank.core.catalog.BackendServer;
-import org.kumquatplank.core.catalog.Catalog;
 import org.kumquatplank.core.dispatch.LeavingServer;
 import org.kumquatplank.core.dispatch.PeerLoad;
 import org.kumquatplank.core.dispatch.VersionRule;
@@ -20,6 +19,7 @@
 import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.ReaderElection;
 import org.kumquatplank.core.relay.TopicUpdate;
+import org.kumquatplank.link.proto.CatalogOffer;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.TopicRelay;
 import org.kumquatplank.platform.store.StoreClient;
@@ -72,7 +72,7 @@
   private final OperatorTopic operatorTopic;
   private final StoreFollower operatorRecords;
   private final StoreFollower serverRecords;
-  private Optional<Catalog> catalog = Optional.empty();
+  private final CatalogState catalog;
   private Map<String, VersionRule> versionRules = Map.of();
   private volatile TrafficReport trafficReport = TrafficReport.NOTHING;
   private final Map<String, List<PeerLoad>> receivedLoads = new HashMap<>();
@@ -89,6 +89,7 @@
     this.loop = loop;
     this.dataPlane = dataPlane;
     this.store = StoreClient.create(loop, settings.storeAddress());
+    this.catalog = CatalogState.create(settings.instance());
     this.rollouts = new RolloutManager(store);
     this.staleness = new StalenessMonitor(dataPlane.metrics());
     this.directory =
@@ -203,16 +204,7 @@
     }
     byte[] value = record.value().get();
     if (record.key().equals(CatalogDecoder.CATALOG_KEY)) {
-      Catalog read = CatalogDecoder.decode(value);
-      if (catalog.isEmpty() || read.version() > catalog.get().version()) {
-        catalog = Optional.of(read);
-        dataPlane.setCatalog(read);
-        EdgeLog.event("catalog")
-            .addKeyValue("version", read.version())
-            .addKeyValue("offset", record.position())
-            .addKeyValue("source", source())
-            .log();
-      }
+      catalog.take(value, record.position().toString(), source()).ifPresent(dataPlane::setCatalog);
     } else if (CatalogDecoder.isRollout(record.key())) {
       rollouts.onOrder(
           CatalogDecoder.decodeRollout(value, record.position()), isNew, Clock.micros());
@@ -299,6 +291,11 @@
         TopicUpdates.deliverTo(relay, now, serverRecords, servers::extendGrace);
       }
     }
+
+    @Override
+    public void onCatalogOffer(CatalogOffer offer) {
+      catalog.takeOffered(offer).ifPresent(dataPlane::setCatalog);
+    }
   }
 
   private void sendDigests() {
@@ -319,7 +316,7 @@
             .setRegion(settings.region())
             .setReady(trafficReport.ready() && !draining)
             .setLeaving(draining)
-            .setCatalogVersion(catalogVersion())
+            .setCatalogVersion(catalog.version())
             .setOperatorEra(operatorPosition.era())
             .setOperatorOffset(operatorPosition.offset())
             .setOperatorReaderAddress(operatorReaderAddress());
@@ -343,14 +340,11 @@
         .orElse(own);
   }
 
-  private long catalogVersion() {
-    return catalog.map(Catalog::version).orElse(-1L);
-  }
-
   private void onDigest(EdgeDigest digest) {
     long now = Clock.micros();
     rollouts.onDigest(digest, now);
-    staleness.onDigest(digest, catalogVersion(), now);
+    staleness.onDigest(digest, catalog.version(), now);
+    offerCatalog(digest, now);
     receivedLoads.put(digest.getInstance(), BackendNewsCodec.loads(digest));
     receivedLeaving.addAll(BackendNewsCodec.leaving(digest));
     ColdNewsCodec.decode(digest.getColdBackendsList(), now, receivedCold);
@@ -360,6 +354,12 @@
     }
   }
 
+  private void offerCatalog(EdgeDigest peer, long now) {
+    catalog
+        .offerFor(peer, operatorRecords.status().next(), () -> directory.live(now), now)
+        .ifPresent(offer -> directory.send(offer, peer.getInstance()));
+  }
+
   private void runPeriodicTasks() {
     long now = Clock.micros();
     rollouts.onEvidence(trafficReport.evidence());
@@ -391,7 +391,9 @@
     receivedLoads.clear();
     receivedLeaving.clear();
     receivedCold.clear();
-    staleness.takeCatchUpPosition(catalogVersion(), now).ifPresent(operatorRecords::requestCatchUp);
-    staleness.check(catalogVersion(), operatorRecords.status(), serverRecords.status(), live, now);
+    staleness
+        .takeCatchUpPosition(catalog.version(), now)
+        .ifPresent(operatorRecords::requestCatchUp);
+    staleness.check(catalog.version(), operatorRecords.status(), serverRecords.status(), live, now);
   }
 }
--- a/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
+++ b/edge/src/main/java/org/kumquatplank/edge/PeerDirectory.java
@@ -26,6 +26,7 @@
 import java.util.Set;
 import org.kumquatplank.core.membership.LivenessReport;
 import org.kumquatplank.core.membership.LivenessTable;
+import org.kumquatplank.link.proto.CatalogOffer;
 import org.kumquatplank.link.proto.EdgeDatagram;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.TopicRelay;
@@ -101,6 +102,9 @@
 
     /** Handles records that a peer at that address read from the store. */
     void onRelay(TopicRelay relay, InetSocketAddress sender);
+
+    /** Handles a configuration that the store lacks. */
+    void onCatalogOffer(CatalogOffer offer);
   }
 
   /** A peer with its last digest. */
@@ -146,6 +150,7 @@
     switch (datagram.getContentCase()) {
       case DIGEST -> receive(datagram.getDigest(), packet);
       case RELAY -> listener.onRelay(datagram.getRelay(), packet.sender());
+      case CATALOG -> listener.onCatalogOffer(datagram.getCatalog());
       case CONTENT_NOT_SET -> EdgeLog.event("empty_datagram").log();
     }
   }
@@ -277,6 +282,16 @@
         .toList();
   }
 
+  /** Sends a configuration to a peer if it fits into a datagram. */
+  void send(CatalogOffer offer, String instance) {
+    byte[] bytes = EdgeDatagram.newBuilder().setCatalog(offer).build().toByteArray();
+    Peer peer = peers.get(instance);
+    if (peer != null && bytes.length <= MAX_DATAGRAM_BYTES) {
+      write(bytes, peer.address());
+      channel.flush();
+    }
+  }
+
   /** Sends records of the store to all peers of the region. */
   void send(TopicRelay relay, long now) {
     byte[] bytes = EdgeDatagram.newBuilder().setRelay(relay).build().toByteArray();
--- a/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
+++ b/edge/src/main/java/org/kumquatplank/edge/RolloutManager.java
@@ -81,7 +81,7 @@
     if (newEra != era) {
       era = newEra;
       rollouts.values().forEach(TrackedRollout::forgetRecorded);
-      statusKnown = false;
+      statusKnown &= rollouts.isEmpty();
     }
   }
 
@@ -333,7 +333,6 @@
     }
     RolloutStatus status = first.get();
     String service = rollout(status).map(TrackedRollout::service).orElseThrow();
-    long writtenIn = era;
     storeCallPending = true;
     store
         .put(STATUS_TOPIC, RolloutStatus.key(service), status.encode(), Optional.of(end))
@@ -345,7 +344,7 @@
                   .addKeyValue("state", status.state())
                   .addKeyValue("written", failure == null)
                   .log();
-              if (failure == null && writtenIn == era) {
+              if (failure == null && position.isInEraOf(end)) {
                 onWritten(status);
               } else {
                 // The write may have succeeded all the same: the next read shows it.
--- a/edge/src/test/java/org/kumquatplank/edge/FakePeer.java
+++ b/edge/src/test/java/org/kumquatplank/edge/FakePeer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import org.kumquatplank.link.proto.CatalogOffer;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.TopicRelay;
 
@@ -25,6 +26,7 @@
   /** Keeps the last digest of the instance. */
   private static final class DigestRecorder implements PeerDirectory.Listener {
     private volatile EdgeDigest last = EdgeDigest.getDefaultInstance();
+    private volatile CatalogOffer lastOffer = CatalogOffer.getDefaultInstance();
 
     @Override
     public void onDigest(EdgeDigest digest) {
@@ -33,6 +35,11 @@
 
     @Override
     public void onRelay(TopicRelay relay, InetSocketAddress sender) {}
+
+    @Override
+    public void onCatalogOffer(CatalogOffer offer) {
+      lastOffer = offer;
+    }
   }
 
   /** Opens a peer that makes itself known to the instance at this address. */
@@ -48,6 +55,11 @@
     return received.last;
   }
 
+  /** Returns the last configuration that the instance has offered, or an empty one. */
+  CatalogOffer lastOffer() {
+    return received.lastOffer;
+  }
+
   /** Returns the address as digests name it. */
   String address() {
     return "127.0.0.1:" + address.getPort();
@@ -58,6 +70,11 @@
     loop.execute(() -> directory.send(digest, Clock.micros()));
   }
 
+  /** Offers a configuration to an instance of which this peer has a digest. */
+  void sendOffer(CatalogOffer offer, String instance) {
+    loop.execute(() -> directory.send(offer, instance));
+  }
+
   void sendUpdate(TopicRelay.Builder update) {
     TopicRelay relay = update.setSender(name).build();
     loop.execute(() -> directory.send(relay, Clock.micros()));
--- a/edge/src/test/java/org/kumquatplank/edge/PeerDirectoryTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/PeerDirectoryTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
+import org.kumquatplank.link.proto.CatalogOffer;
 import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.link.proto.RelayedRecord;
 import org.kumquatplank.link.proto.TopicRelay;
@@ -32,6 +33,9 @@
     public void onRelay(TopicRelay relay, InetSocketAddress sender) {
       relays.add(relay);
     }
+
+    @Override
+    public void onCatalogOffer(CatalogOffer offer) {}
   }
 
   @Example
--- a/edge/src/test/java/org/kumquatplank/edge/RestoredStoreTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/RestoredStoreTest.java
@@ -5,10 +5,13 @@
 import static org.kumquatplank.edge.PlacementFixture.metric;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 import net.jqwik.api.Example;
+import org.kumquatplank.link.proto.CatalogOffer;
+import org.kumquatplank.link.proto.EdgeDigest;
 import org.kumquatplank.testkit.fleet.FakeBackendServer.Behaviour;
 import org.kumquatplank.testkit.fleet.FakeBackendServer.Received;
 import org.kumquatplank.testkit.fleet.FakeStore;
@@ -77,6 +80,54 @@
     }
   }
 
+  /** Guards against a revoked key that runs at an instance that starts after a restore. */
+  @Example
+  void testConfigurationThatTheStoreLacksIsOfferedToAPeer() throws IOException {
+    try (EdgeFixture edge = start(r -> GOOD);
+        FakePeer peer = FakePeer.open("z", edge.peerAddress())) {
+      FakeStore.Copy copy = edge.store().copy();
+      edge.putCatalog("\"key-2\"");
+      edge.await(() -> status(edge) == 401);
+      returnFromOutage(edge, restore(edge, copy));
+      edge.await(
+          () -> {
+            peer.sendDigest(
+                EdgeDigest.newBuilder()
+                    .setCatalogVersion(1)
+                    .setOperatorEra(2)
+                    .setOperatorOffset(edge.store().end("op")));
+            return !peer.lastOffer().getValue().isEmpty();
+          });
+      byte[] offered = ValueCompression.decompress(peer.lastOffer().getValue());
+      assertThat(new String(offered, StandardCharsets.UTF_8)).contains("key-2");
+    }
+  }
+
+  @Example
+  void testConfigurationThatAPeerOffersIsTakenOver() throws IOException {
+    try (EdgeFixture edge = start(r -> GOOD);
+        FakePeer peer = FakePeer.open("z", edge.peerAddress())) {
+      assertThat(status(edge)).isEqualTo(200);
+      String newer =
+          edge.store()
+              .newest("op", "config")
+              .replace("\"version\":1,", "\"version\":9,")
+              .replace("key-1", "key-2");
+      CatalogOffer offer =
+          CatalogOffer.newBuilder()
+              .setValue(ValueCompression.compress(newer.getBytes(StandardCharsets.UTF_8)))
+              .build();
+      edge.await(
+          () -> {
+            // The peer learns the address of the instance from its digest.
+            peer.sendDigest(EdgeDigest.newBuilder());
+            peer.sendOffer(offer, "self");
+            return status(edge) == 401;
+          });
+      assertThat(metric(edge, "catalog_version")).isEqualTo(9);
+    }
+  }
+
   @Example
   void testEvacuationGoesOnWhileTheStoreLacksIt() throws IOException {
     try (EdgeFixture edge = start(r -> GOOD)) {
