--- a/core/src/main/java/org/kumquatplank/core/relay/RestoreGuard.java
+++ b/core/src/main/java/org/kumquatplank/core/relay/RestoreGuard.java
@@ -66,7 +66,8 @@
   }
 
   /**
-   * Handles a listing of an era that has been listed before, or of the first era.
+   * Handles a listing. Records that it lacks are dropped, but after a restore only once they have
+   * been missing for the time that is allowed.
    *
    * @return the records to apply now
    */
