Read a missing change soon after a failed read

Cause: an instance repeats a failed read of the store the later the more live peers come before it by name, up to 6 s, since they tell it when the store is back.

Change: while a peer has later changes than this instance, the pause is at most 0.6 s; also where it had begun before the change was known.

--- a/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
+++ b/edge/src/main/java/org/kumquatplank/edge/StoreFollower.java
@@ -27,6 +27,7 @@
  * thread.
  */
 final class StoreFollower {
+  private static final long MICROS_PER_MILLI = 1_000;
   private static final long INITIAL_BACKOFF_MILLIS = 150;
   private static final long MAX_BACKOFF_MILLIS = 600;
 
@@ -36,6 +37,12 @@
    */
   private static final long MAX_RETRY_PAUSE_MILLIS = 6_000;
 
+  /**
+   * Longest pause between two failed reads while a peer has later changes than this instance. They
+   * may be too large for an update, so that no peer can send them.
+   */
+  private static final long MAX_GAP_RETRY_PAUSE_MILLIS = 600;
+
   /** How often an instance that is not the elected reader checks whether it has become so. */
   private static final long ELECTION_CHECK_MILLIS = 400;
 
@@ -346,10 +353,24 @@
           .log();
     }
     long pause = Math.min(MAX_RETRY_PAUSE_MILLIS, backoffMillis * (1 + peersAhead));
-    loop.schedule(retry, pause, TimeUnit.MILLISECONDS);
+    long gapPause = Math.min(MAX_GAP_RETRY_PAUSE_MILLIS, pause);
+    long now = Clock.micros();
+    awaitRetry(retry, now + pause * MICROS_PER_MILLI, now + gapPause * MICROS_PER_MILLI);
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, 2 * backoffMillis);
   }
 
+  /** Retries at a time, or at an earlier one if changes are known to be missing by then. */
+  private void awaitRetry(Runnable retry, long retryAt, long gapRetryAt) {
+    long now = Clock.micros();
+    if (now >= retryAt || (now >= gapRetryAt && cursor.hasGap())) {
+      retry.run();
+      return;
+    }
+    long next = now >= gapRetryAt ? retryAt : gapRetryAt;
+    long pause = Math.min(ELECTION_CHECK_MILLIS * MICROS_PER_MILLI, next - now);
+    loop.schedule(() -> awaitRetry(retry, retryAt, gapRetryAt), pause, TimeUnit.MICROSECONDS);
+  }
+
   /** Returns the records of a snapshot as a map by key. */
   static Map<String, StoreRecord> byKey(List<StoreRecord> records) {
     Map<String, StoreRecord> result = new HashMap<>();
--- a/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
+++ b/edge/src/test/java/org/kumquatplank/edge/StoreFollowerTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.kumquatplank.core.relay.LogPosition;
 import org.kumquatplank.core.relay.ReaderElection;
@@ -29,6 +30,9 @@
 
   private static final long LONG_POLL_MILLIS = 5_000;
 
+  /** Bound on the time in which a configuration takes effect. */
+  private static final long PROPAGATION_MICROS = 3_000_000;
+
   /** Longer than any test, so that the updates of a peer stay current. */
   private static final long FRESH_MICROS = 3_600_000_000L;
 
@@ -86,10 +90,14 @@
     }
 
     Fixture(long waitMillis) throws IOException {
+      this(waitMillis, FRESH_MICROS);
+    }
+
+    Fixture(long waitMillis, long freshMicros) throws IOException {
       store = FakeStore.open("127.0.0.1");
       client = StoreClient.create(loop, store.address());
       StoreFollower.Topic topic = new StoreFollower.Topic("t", waitMillis, 50);
-      ReaderElection election = ReaderElection.create("b", FRESH_MICROS);
+      ReaderElection election = ReaderElection.create("b", freshMicros);
       follower = new StoreFollower(loop, client, topic, election, listener);
       loop.execute(follower::start);
       await(() -> !listener.snapshots.isEmpty());
@@ -215,6 +223,50 @@
     }
   }
 
+  /**
+   * Guards against a revoked key that runs for seconds where the configuration does not fit into an
+   * update: the instance lacks the change, and a read that failed once was repeated the later the
+   * more peers come before by name.
+   */
+  @Example
+  void testMissingChangeIsReadSoonAfterAFailedReadHoweverManyPeersThereAre() throws IOException {
+    try (Fixture f = new Fixture()) {
+      List<String> peers = IntStream.range(0, 36).mapToObj(i -> "a" + (10 + i)).toList();
+      f.loop.submit(() -> f.follower.setLivePeers(peers)).syncUninterruptibly();
+      f.receive("a10", 0, 0);
+      f.store.setFault(FakeStore.Fault.DOWN);
+      f.store.put("t", "k", "revoked");
+      long before = f.client.requestCount();
+      f.receive("a10", 1, 1);
+      await(() -> f.client.requestCount() > before);
+      f.loop.submit(() -> {}).syncUninterruptibly();
+      EdgeFixture.pause(100);
+      f.store.setFault(FakeStore.Fault.NONE);
+      long start = Clock.micros();
+      await(() -> f.listener.changes.contains("k=revoked"));
+      assertThat(Clock.micros() - start).isLessThan(PROPAGATION_MICROS);
+    }
+  }
+
+  /** Guards against the same where the read had failed before the change was known. */
+  @Example
+  void testMissingChangeIsReadSoonThoughALaterRetryWasPlanned() throws IOException {
+    try (Fixture f = new Fixture(0, 100_000)) {
+      List<String> peers = IntStream.range(0, 36).mapToObj(i -> "a" + (10 + i)).toList();
+      f.loop.submit(() -> f.follower.setLivePeers(peers)).syncUninterruptibly();
+      f.store.setFault(FakeStore.Fault.DOWN);
+      long before = f.client.requestCount();
+      await(() -> f.client.requestCount() > before);
+      EdgeFixture.pause(100);
+      f.store.setFault(FakeStore.Fault.NONE);
+      f.store.put("t", "k", "revoked");
+      long start = Clock.micros();
+      f.receive("a10", 1, 1);
+      await(() -> f.listener.changes.contains("k=revoked"));
+      assertThat(Clock.micros() - start).isLessThan(PROPAGATION_MICROS);
+    }
+  }
+
   @Example
   void testInstanceWithoutAccessToTheStoreReceivesChangesFromPeers() throws IOException {
     try (Fixture f = new Fixture()) {
