--- a/review/rig-3/Case13.java
+++ b/review/rig-3/Case13.java
@@ -1,9 +1,8 @@
-/** The store moves, SIGHUP says so, and its old address answers for some seconds more. */
+/** The store moves and SIGHUP says so; its old address answers with 503 from then on. */
 final class Case13 {
   private Case13() {}
 
   public static void main(String[] arguments) {
-    Rig.run(
-        arguments, rig -> StoreMove.run(rig, StoreMove.Manner.SIGNAL_AND_OLD_ADDRESS_STAYS));
+    Rig.run(arguments, rig -> StoreMove.run(rig, StoreMove.Manner.SIGNAL));
   }
 }
--- a/review/rig-3/Store.java
+++ b/review/rig-3/Store.java
@@ -20,6 +20,7 @@
 final class Store implements AutoCloseable {
   private final HttpServer server;
   private final Map<String, List<byte[]>> topics = new HashMap<>();
+  private volatile boolean refuses;
 
   Store() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
@@ -51,6 +52,12 @@
     notifyAll();
   }
 
+  /** Answers every call with 503 from now on: nothing is done. */
+  synchronized void refuse() {
+    refuses = true;
+    notifyAll();
+  }
+
   void drop(String topic, String key) {
     put(topic, key, "");
   }
@@ -93,7 +100,7 @@
       int status = 200;
       byte[] answer;
       String topic = query.getOrDefault("topic", "");
-      switch (exchange.getRequestURI().getPath()) {
+      switch (refuses ? "" : exchange.getRequestURI().getPath()) {
         case "/log-newest" -> answer = listing(topic);
         case "/log-read" -> answer = read(topic, query);
         case "/log-append" -> {
@@ -106,6 +113,10 @@
           answer = "{}".getBytes();
         }
       }
+      if (refuses) {
+        status = 503;
+        answer = "{}".getBytes();
+      }
       exchange.sendResponseHeaders(status, answer.length);
       exchange.getResponseBody().write(answer);
     } catch (InterruptedException e) {
@@ -145,7 +156,7 @@
     List<byte[]> log = log(topic);
     int from = Integer.parseInt(query.get("from"));
     long until = System.nanoTime() + 1_000_000L * Long.parseLong(query.getOrDefault("wait_ms", "0"));
-    while (log.size() <= from) {
+    while (log.size() <= from && !refuses) {
       long left = (until - System.nanoTime()) / 1_000_000;
       if (left <= 0) {
         break;
--- a/review/rig-3/StoreMove.java
+++ b/review/rig-3/StoreMove.java
@@ -21,8 +21,8 @@
 
   /** What tells the process of the move, and what becomes of the old address. */
   enum Manner {
-    /** SIGHUP; the old address answers for some time more, with the state as of the move. */
-    SIGNAL_AND_OLD_ADDRESS_STAYS,
+    /** SIGHUP; the old address answers each call with 503, so that nothing is done there. */
+    SIGNAL,
     /** No signal; nothing listens on the old address. */
     NO_SIGNAL
   }
@@ -56,7 +56,11 @@
       Files.writeString(instance.settings, instance.text(store.address(), 8));
       rig.record("the store moves; the settings file names its new address");
     }
-    if (manner == Manner.SIGNAL_AND_OLD_ADDRESS_STAYS) {
+    if (manner == Manner.SIGNAL) {
+      if (rig.trouble) {
+        old.refuse();
+        rig.record("the old address answers each call with 503");
+      }
       instance.signal("HUP");
       rig.record("SIGHUP sent");
     } else if (rig.trouble) {
@@ -107,7 +111,7 @@
             deniedOnAddedRoute,
             runByLeavingReplica,
             served));
-    if (manner == Manner.SIGNAL_AND_OLD_ADDRESS_STAYS && rig.trouble) {
+    if (manner == Manner.SIGNAL && rig.trouble) {
       old.close();
       Rig.sleep(5_000);
       rig.record("5 s after the old address is gone: key-2 " + ask(instance, "/desk/x", "key-2")
