--- a/review/rig-3/Case13.java
+++ b/review/rig-3/Case13.java
@@ -3,6 +3,6 @@
   private Case13() {}
 
   public static void main(String[] arguments) {
-    Rig.run(arguments, rig -> StoreMove.run(rig, StoreMove.Manner.SIGNAL));
+    Rig.run(arguments, StoreMove::run);
   }
 }
--- a/review/rig-3/StoreMove.java
+++ b/review/rig-3/StoreMove.java
@@ -3,30 +3,23 @@
 import java.util.Locale;
 
 /**
- * A store that moves to another address while the settings file names it, and what clients see.
+ * A store that moves to another address; the settings file names it, and SIGHUP says so.
  *
  * <p>The store at the new address goes on with the same records at the same offsets. All that the
  * operator and the replicas write after the move is written and acknowledged there.
  */
 final class StoreMove {
-  /** The bound of the configuration, with the stretch that the pages allow for an unstable store. */
-  private static final long PROPAGATION_MILLIS = 3_000;
+  /** The bound of the configuration, and half a second more. */
+  private static final long PROPAGATION_MILLIS = 3_500;
+
+  /** The stable window, and half a second more. */
+  private static final long CALM_MILLIS = 4_500;
 
-  private static final long OUTER_MILLIS = 6_000;
-  private static final long CALM_MILLIS = 6_000;
   private static final int ROUNDS = 10;
   private static final int BODY_BYTES = 4 * 1024 * 1024;
 
   private StoreMove() {}
 
-  /** What tells the process of the move, and what becomes of the old address. */
-  enum Manner {
-    /** SIGHUP; the old address answers each call with 503, so that nothing is done there. */
-    SIGNAL,
-    /** No signal; nothing listens on the old address. */
-    NO_SIGNAL
-  }
-
   private static String config(int version, boolean changed) {
     String routes =
         Rig.route("desk", "safe", "desk", Rig.TIMEOUT_MILLIS, "")
@@ -40,7 +33,7 @@
         ",\"tenants\":[{\"name\":\"tenant-1\",\"api_keys\":[" + keys + "]}]");
   }
 
-  static boolean run(Rig rig, Manner manner) throws Exception {
+  static boolean run(Rig rig) throws Exception {
     Store old = rig.add(new Store());
     Backend first = rig.desk("i-1", "desk");
     old.put("servers", first.id, first.entry("ready"));
@@ -55,18 +48,11 @@
       store = rig.add(old.copy());
       Files.writeString(instance.settings, instance.text(store.address(), 8));
       rig.record("the store moves; the settings file names its new address");
+      old.refuse();
+      rig.record("the old address answers each call with 503");
     }
-    if (manner == Manner.SIGNAL) {
-      if (rig.trouble) {
-        old.refuse();
-        rig.record("the old address answers each call with 503");
-      }
-      instance.signal("HUP");
-      rig.record("SIGHUP sent");
-    } else if (rig.trouble) {
-      old.close();
-      rig.record("nothing listens on the old address of the store any more");
-    }
+    instance.signal("HUP");
+    rig.record("SIGHUP sent");
     Rig.sleep(CALM_MILLIS);
 
     store.put("op", "config", config(2, true));
@@ -75,7 +61,7 @@
     store.put("servers", second.id, second.entry("ready"));
     store.put("servers", first.id, first.entry("draining"));
     rig.record("replica i-2 is ready, i-1 is draining");
-    Rig.sleep(PROPAGATION_MILLIS + OUTER_MILLIS);
+    Rig.sleep(PROPAGATION_MILLIS);
 
     int runWithDroppedKey = 0;
     int deniedOnAddedRoute = 0;
@@ -111,7 +97,7 @@
             deniedOnAddedRoute,
             runByLeavingReplica,
             served));
-    if (manner == Manner.SIGNAL && rig.trouble) {
+    if (rig.trouble) {
       old.close();
       Rig.sleep(5_000);
       rig.record("5 s after the old address is gone: key-2 " + ask(instance, "/desk/x", "key-2")
