--- a/review/rig-3/Case15.java
+++ /dev/null
@@ -1,8 +0,0 @@
-/** After a roll-back, replicas of the next version get requests before anybody orders it. */
-final class Case15 {
-  private Case15() {}
-
-  public static void main(String[] arguments) {
-    Rig.run(arguments, UnorderedVersion::run);
-  }
-}
